--- /dev/null
+++ b/balsamhinge/controllers/groups.py
@@ -0,0 +1,131 @@
+"""What this instance believes of groups and their targets."""
+
+import asyncio
+
+import attrs
+
+from balsamhinge.controllers import events
+from balsamhinge.policy import freshness
+from balsamhinge.policy import positions
+from balsamhinge.policy import routing
+from balsamhinge.policy import views
+
+__all__ = ["GroupsController"]
+
+LAG_WEIGHT = 0.3
+
+
+class GroupsController:
+    """Holds the view of every group; a view only goes up in term."""
+
+    def __init__(self):
+        self.change = events.Change()
+        self.retired = set()
+        self.roles = {}
+        self._views = {}
+        self._targets = {}
+        self._histories = {}
+        self._successors = {}
+
+    def learn(self, view):
+        """Take a view if it is newer; return whether it was."""
+        if not view.term or not views.newer(
+            view, self._views.get(view.group)
+        ):
+            return False
+        self._views[view.group] = view
+        successor = self._successors.pop(view.group, None)
+        if successor is not None:
+            successor.set()
+        self.change.announce()
+        return True
+
+    async def superseded(self, group, term):
+        """Return once the view of a group has a later term than `term`."""
+        while self.view(group).term <= term:
+            event = self._successors.setdefault(group, asyncio.Event())
+            await event.wait()
+
+    def learn_retired(self, targets):
+        """Take note of targets that are fenced for good."""
+        if not set(targets) <= self.retired:
+            self.retired |= set(targets)
+            self.change.announce()
+
+    def view(self, group):
+        """Return the view of a group; one of term 0 if none is known."""
+        return self._views.get(group) or views.GroupView(group)
+
+    def views(self):
+        """Return all views."""
+        return list(self._views.values())
+
+    def forget_unlisted(self, plan):
+        """Drop what is known of groups that the plan does not have."""
+        for group in set(self._views) - set(plan.groups):
+            del self._views[group]
+
+    def history(self, group):
+        """Return the positions of a group's primary by time."""
+        if group not in self._histories:
+            self._histories[group] = freshness.PrimaryHistory()
+        return self._histories[group]
+
+    def target_view(self, target):
+        """Return what is believed of a target of the plan."""
+        known = self._targets.get(target.name)
+        if known is None:
+            known = routing.TargetView(target.name, target.data_centre)
+        return known
+
+    def record_applied(self, target, applied, now):
+        """Take note of how far a target has come."""
+        known = self.target_view(target)
+        if applied < known.applied:
+            return
+        updated = attrs.evolve(known, applied=applied, seen=now)
+        self._targets[target.name] = updated
+
+    def record_lag(self, target, lag_s):
+        """Take note of a target's lag behind its primary in seconds."""
+        known = self.target_view(target)
+        self._targets[target.name] = attrs.evolve(known, lag_s=lag_s)
+
+    def record_status(
+        self, group, target, status, asked, now, probe_interval_s
+    ):
+        """Take note of a target's answer to a probe.
+
+        Parameters
+        ----------
+        group : str
+            Its group.
+        target : Target
+            The target, of the plan.
+        status : TargetStatus
+            What it said.
+        asked, now : float
+            Loop time in seconds when it was asked, and now.
+        probe_interval_s : float
+            Seconds between two probes.
+        """
+        self.roles[target.name] = status
+        self.record_applied(target, status.applied, now)
+        if status.role == "retired":
+            self.learn_retired([target.name])
+        view = self.view(group)
+        if status.role == "primary" and status.term >= view.term:
+            self.history(group).record(asked, status.received)
+            return
+        age = self.history(group).age_s(now, status.applied)
+        if age is not None:
+            # Of a target that keeps up, the age swings between nothing
+            # and the interval of the probes.
+            lag = max(0.0, age - probe_interval_s)
+            usual = self.target_view(target).lag_s
+            self.record_lag(target, usual + LAG_WEIGHT * (lag - usual))
+
+    def applied(self, target):
+        """Return the position that a target was last known to have."""
+        known = self._targets.get(target)
+        return known.applied if known else positions.ORIGIN
--- /dev/null
+++ b/balsamhinge/controllers/members.py
@@ -0,0 +1,156 @@
+"""Which instances there are, and which of them answer."""
+
+import bisect
+
+import attrs
+
+from balsamhinge.controllers import events
+from balsamhinge.policy import homes
+
+__all__ = ["MembersController"]
+
+HOMES_KEPT = 6
+
+
+class MembersController:
+    """Holds the platform's list of instances and who is silent.
+
+    Parameters
+    ----------
+    me : Member
+        This instance.
+    seeds : list of Member
+        Instances known from the settings, used until a list arrives.
+    local_homes : bool
+        Baseline: every instance cares for every target itself.
+    """
+
+    def __init__(self, me, seeds=(), local_homes=False):
+        self.me = me
+        self.version = 0
+        self.change = events.Change()
+        self._local_homes = local_homes
+        self._listed = {}
+        self._names = []
+        self._silent = set()
+        self._leaving = set()
+        self._home_names = {}
+        self._accept([me, *seeds])
+
+    @property
+    def leaving(self):
+        """Return the instances that told of their stop."""
+        return sorted(self._leaving)
+
+    def learn(self, version, members):
+        """Take a list of the platform's, if it is newer.
+
+        Returns
+        -------
+        bool
+            Whether it was.
+        """
+        if version <= self.version:
+            return False
+        self.version = version
+        self._accept(members)
+        return True
+
+    def _accept(self, members):
+        self._listed = {member.name: member for member in members}
+        self._listed.setdefault(self.me.name, self.me)
+        self._names = sorted(self._listed)
+        self._silent &= set(self._listed)
+        self._leaving &= set(self._listed)
+        self._home_names.clear()
+        self.change.announce()
+
+    def learn_leaving(self, names):
+        """Take note of instances that are about to stop."""
+        known = set(names) & set(self._listed)
+        if not known <= self._leaving:
+            self._leaving |= known
+            self.change.announce()
+
+    def learn_returned(self, name):
+        """Take note that an instance serves again."""
+        self._leaving.discard(name)
+
+    def get(self, name):
+        """Return a member by its name, or None."""
+        return self._listed.get(name)
+
+    def listed(self):
+        """Return every member, sorted by name."""
+        return [self._listed[name] for name in self._names]
+
+    def others(self):
+        """Return the names of other members that answer, sorted."""
+        names = list(self._names)
+        del names[bisect.bisect_left(names, self.me.name)]
+        return [name for name in names if name not in self._silent]
+
+    def silent(self):
+        """Return the names of members that do not answer, sorted."""
+        return sorted(self._silent)
+
+    def record_silence(self, name):
+        """Take note that a member did not answer."""
+        if name in self._listed and name not in self._silent:
+            self._silent.add(name)
+            self.change.announce()
+
+    def record_answer(self, name):
+        """Take note that a member answered."""
+        if name in self._silent:
+            self._silent.discard(name)
+            self.change.announce()
+
+    def homes(self, target):
+        """Return the members that may care for a target, best first.
+
+        Parameters
+        ----------
+        target : Target
+            Of the plan.
+
+        Returns
+        -------
+        list of Member
+            Only members that answer and stay.
+        """
+        if self._local_homes:
+            return [self.me]
+        names = self._home_names.get(target.name)
+        if names is None:
+            ordered = homes.home_order(
+                self._listed.values(), target.name, target.data_centre
+            )
+            names = [member.name for member in ordered]
+            self._home_names[target.name] = names
+        usable = [n for n in names if self._usable(n)][:HOMES_KEPT]
+        return [self._listed[name] for name in usable]
+
+    def is_home(self, target):
+        """Return whether this instance comes first for a target."""
+        ordered = self.homes(target)
+        return bool(ordered) and ordered[0].name == self.me.name
+
+    def set_leaving(self):
+        """Mark this instance as about to stop."""
+        self.me = attrs.evolve(self.me, leaving=True)
+        self.learn_leaving([self.me.name])
+
+    def relays(self, count):
+        """Return the names of this data centre's first members."""
+        near = [
+            member
+            for member in self._listed.values()
+            if member.data_centre == self.me.data_centre
+            and self._usable(member.name)
+        ]
+        ranked = homes.rank(near, "relay")
+        return [member.name for member in ranked[:count]]
+
+    def _usable(self, name):
+        return name not in self._silent and name not in self._leaving
--- /dev/null
+++ b/balsamhinge/controllers/spreading.py
@@ -0,0 +1,245 @@
+"""Brings configuration, members and views to every instance."""
+
+import asyncio
+
+import attrs
+import logbook
+import msgspec
+
+from balsamhinge import exceptions
+from balsamhinge import links
+from balsamhinge.controllers import clock
+from balsamhinge.logs import event
+from balsamhinge.policy import homes
+from balsamhinge.policy import spread
+from balsamhinge.policy import views
+
+__all__ = ["SpreadingController"]
+
+EXCHANGE_INTERVAL_S = 0.5
+EXCHANGE_TIMEOUT_S = 0.5
+WATCH_S = 20.0
+STORE_RETRY_S = 1.0
+IDLE_S = 1.0
+RELAYS = 2
+
+log = logbook.Logger(__name__)
+
+
+class SpreadingController:
+    """Pushes changes along a tree and compares notes with random peers.
+
+    Parameters
+    ----------
+    links_ : Links
+        The store and the peers.
+    configuration, members, groups : controllers
+        What is spread.
+    rng : random.Random
+        Chooses peers and jitter.
+    """
+
+    def __init__(self, links_, configuration, members, groups, rng):
+        self._links = links_
+        self._configuration = configuration
+        self._members = members
+        self._groups = groups
+        self._rng = rng
+        self._tasks = set()
+        self.versions = {}
+        self.store_answers = False
+
+    def start(self):
+        """Start the loops on the running loop."""
+        self._spawn(
+            clock.run_forever(
+                self._exchange_once, EXCHANGE_INTERVAL_S, self._rng
+            )
+        )
+        self._spawn(self._relay(links.CONFIGURATION_KEY, self._take_text))
+        self._spawn(self._relay(links.INSTANCES_KEY, self._take_members))
+
+    def stop(self):
+        """Stop the loops at once."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def summary(self, **fields):
+        """Return an `Exchange` with what this instance holds."""
+        return links.Exchange(
+            sender=self._members.me.name,
+            version=self._configuration.version,
+            members_version=self._members.version,
+            retired=sorted(self._groups.retired),
+            leaving=self._members.leaving,
+            **fields,
+        )
+
+    def publish_text(self, scope=""):
+        """Push the configuration in force to other instances."""
+        self._push(self.summary(text=self._configuration.text, scope=scope))
+
+    def publish_members(self, scope=""):
+        """Push the list of instances to other instances."""
+        members = self._members.listed()
+        self._push(self.summary(members=members, scope=scope))
+
+    def publish_views(self, changed):
+        """Push changed views to every instance."""
+        self._push(self.summary(views=changed))
+
+    def _push(self, message):
+        self._spawn(self._pass_on(message))
+
+    async def _pass_on(self, message):
+        names = self._members.others()
+        if message.scope:
+            names = [n for n in names if self._is_near(n, message.scope)]
+        await asyncio.gather(
+            *(
+                self._send_branch(branch, message)
+                for branch in spread.branches(
+                    names, message.first, message.last
+                )
+            )
+        )
+
+    def _is_near(self, name, data_centre):
+        member = self._members.get(name)
+        return member is not None and member.data_centre == data_centre
+
+    async def _send_branch(self, branch, message):
+        # The first that answers takes the rest of the range.
+        for index, name in enumerate(branch.names):
+            rest = branch.names[index + 1 :]
+            ends = (rest[0], rest[-1]) if rest else (name, name)
+            part = attrs.evolve(
+                message,
+                sender=self._members.me.name,
+                first=ends[0],
+                last=ends[1],
+            )
+            if await self._send(name, part) is not None:
+                return
+
+    async def _send(self, name, message):
+        member = self._members.get(name)
+        if member is None:
+            return None
+        try:
+            answer = await self._links.peers.exchange(
+                member, message, EXCHANGE_TIMEOUT_S
+            )
+        except exceptions.PeerUnavailable:
+            self._members.record_silence(name)
+            return None
+        self._members.record_answer(name)
+        self.absorb(answer)
+        return answer
+
+    async def receive(self, message):
+        """Take another instance's message and return the answer."""
+        self._members.record_answer(message.sender)
+        changed = self.absorb(message)
+        if not message.digests:
+            if message.first and changed:
+                self._push(message)
+            return self.summary()
+        return self._difference(message)
+
+    def _difference(self, message):
+        """Return what the sender of a digest lacks."""
+        fields = {}
+        if message.version < self._configuration.version:
+            fields["text"] = self._configuration.text
+        if message.members_version < self._members.version:
+            fields["members"] = self._members.listed()
+        mine = self._groups.views()
+        digests = views.bucket_digests(mine)
+        differing = {
+            bucket
+            for bucket, digest in enumerate(message.digests)
+            if digest != digests[bucket]
+        }
+        fields["views"] = [
+            view for view in mine if views.bucket_of(view.group) in differing
+        ]
+        return self.summary(digests=digests, **fields)
+
+    def absorb(self, message):
+        """Take whatever is newer; return whether anything was."""
+        self.versions[message.sender] = message.version
+        changed = False
+        if message.text is not None:
+            changed |= self._configuration.learn(message.version, message.text)
+        if message.members:
+            changed |= self._members.learn(
+                message.members_version, message.members
+            )
+        for view in message.views:
+            changed |= self._groups.learn(view)
+        if not set(message.leaving) <= set(self._members.leaving):
+            changed = True
+        self._groups.learn_retired(message.retired)
+        self._members.learn_leaving(message.leaving)
+        if message.sender not in message.leaving:
+            self._members.learn_returned(message.sender)
+        return changed
+
+    async def _exchange_once(self):
+        names = self._members.others()
+        chosen = self._rng.sample(names, 1) if names else []
+        silent = self._members.silent()
+        chosen += self._rng.sample(silent, 1) if silent else []
+        await asyncio.gather(*(self.compare(name) for name in chosen))
+
+    async def compare(self, name):
+        """Exchange digests with one instance, both ways."""
+        digests = views.bucket_digests(self._groups.views())
+        answer = await self._send(name, self.summary(digests=digests))
+        if answer is None or not answer.digests:
+            return
+        missing = self._difference(answer)
+        if missing.text or missing.members or missing.views:
+            await self._send(name, attrs.evolve(missing, digests=[]))
+
+    async def _relay(self, key, take):
+        """Watch an object of the store while this instance is a relay."""
+        version = 0
+        while True:
+            if self._members.me.name not in self._members.relays(RELAYS):
+                await self._members.change.wait(IDLE_S)
+                continue
+            try:
+                stored = await self._links.store.watch(key, version, WATCH_S)
+            except exceptions.StoreUnavailable:
+                self.store_answers = False
+                await clock.pause(
+                    STORE_RETRY_S * self._rng.uniform(0.5, 1.5)
+                )
+                continue
+            self.store_answers = True
+            if stored is not None:
+                version = max(version, stored.version)
+                take(stored)
+
+    def _take_text(self, stored):
+        try:
+            if self._configuration.learn_stored(stored):
+                self.publish_text(self._members.me.data_centre)
+        except exceptions.ConfigurationError as exc:
+            event(log.error, "stored_configuration_refused", error=exc)
+
+    def _take_members(self, stored):
+        members = msgspec.json.decode(stored.value, type=list[homes.Member])
+        if self._members.learn(stored.version, members):
+            self.publish_members(self._members.me.data_centre)
+
+    async def catch_up(self, names):
+        """Ask several instances at once, after a start with nothing."""
+        await asyncio.gather(*(self.compare(name) for name in names))
--- /dev/null
+++ b/balsamhinge/controllers/watching.py
@@ -0,0 +1,323 @@
+"""Watches the groups whose targets this instance cares for."""
+
+import asyncio
+
+import logbook
+
+from balsamhinge import exceptions
+from balsamhinge.controllers import clock
+from balsamhinge.logs import event
+from balsamhinge.policy import homes
+from balsamhinge.policy import majorities
+from balsamhinge.policy import promotion
+from balsamhinge.policy import views
+
+__all__ = ["WatchingController"]
+
+PROBE_INTERVAL_S = 0.1
+PROBE_TIMEOUT_S = 0.25
+SUSPECT_S = 0.4
+HEARD_S = 0.6
+PLANNED_STEP_S = 1.0
+SIGHT_TIMEOUT_S = 0.2
+RECONCILE_S = 1.0
+PURPOSE = "probe"
+
+log = logbook.Logger(__name__)
+
+
+class WatchingController:
+    """Probes targets, repairs followers and calls for promotions.
+
+    Parameters
+    ----------
+    core : Core
+        The instance's controllers.
+    """
+
+    def __init__(self, core):
+        self._core = core
+        self._heard = {}
+        self._tasks = {}
+        self._reconciler = None
+
+    def start(self):
+        """Start on the running loop."""
+        self._reconciler = asyncio.ensure_future(self._reconcile_forever())
+
+    def stop(self):
+        """Stop at once."""
+        if self._reconciler is not None:
+            self._reconciler.cancel()
+        for tasks in self._tasks.values():
+            for task in tasks:
+                task.cancel()
+        self._tasks.clear()
+
+    def silent_s(self, group):
+        """Return for how long a group's primary was not heard of."""
+        primary = self._core.groups.view(group).primary
+        return clock.now() - self._heard.get(primary, float("-inf"))
+
+    def watched(self):
+        """Return the names of the groups that are watched here."""
+        return sorted(self._tasks)
+
+    async def _reconcile_forever(self):
+        while True:
+            self._reconcile()
+            waits = [
+                asyncio.ensure_future(change.wait(RECONCILE_S))
+                for change in (
+                    self._core.configuration.change,
+                    self._core.members.change,
+                )
+            ]
+            try:
+                await asyncio.wait(
+                    waits, return_when=asyncio.FIRST_COMPLETED
+                )
+            finally:
+                for wait in waits:
+                    wait.cancel()
+
+    def _reconcile(self):
+        plan = self._core.configuration.plan
+        wanted = {}
+        for group in plan.groups.values():
+            targets = [plan.targets[name] for name in group.targets]
+            if any(self._core.members.is_home(t) for t in targets):
+                wanted[group.name] = targets
+        for name in set(self._tasks) - set(wanted):
+            for task in self._tasks.pop(name):
+                task.cancel()
+        for name, targets in wanted.items():
+            self._start_group(name, targets)
+        self._core.groups.forget_unlisted(plan)
+
+    def _start_group(self, group, targets):
+        running = self._tasks.get(group)
+        names = [target.name for target in targets]
+        if running and running[0].get_name() == ",".join(names):
+            return
+        for task in running or []:
+            task.cancel()
+        loops = [self._consider_forever(group, names)]
+        loops += [self._probe_forever(group, name) for name in names]
+        tasks = [asyncio.ensure_future(loop) for loop in loops]
+        tasks[0].set_name(",".join(names))
+        self._tasks[group] = tasks
+
+    async def _probe_forever(self, group, name):
+        while True:
+            started = clock.now()
+            await self._probe(group, name)
+            spent = clock.now() - started
+            await clock.pause(PROBE_INTERVAL_S - spent)
+
+    async def _probe(self, group, name):
+        target = self._core.configuration.plan.targets.get(name)
+        if target is None:
+            return
+        asked = clock.now()
+        try:
+            status = await self._core.control.call(
+                target, PURPOSE, "status", timeout_s=PROBE_TIMEOUT_S
+            )
+        except (
+            exceptions.AnswerLost,
+            exceptions.NotRunError,
+            exceptions.CommandFailed,
+        ):
+            return
+        self._heard[name] = clock.now()
+        self._core.groups.record_status(
+            group, target, status, asked, clock.now(), PROBE_INTERVAL_S
+        )
+        await self._repair(group, target, status)
+
+    async def _repair(self, group, target, status):
+        """Bring a target that missed a promotion to the group's term."""
+        view = self._core.groups.view(group)
+        if not view.primary or status.role == "retired":
+            return
+        if status.name == view.primary or status.term > view.term:
+            return
+        if status.role == "replica" and status.term == view.term:
+            return
+        if self._is_silent(view.primary):
+            return
+        call = self._core.control.call
+        me = self._core.members.me.name
+        try:
+            if status.term < view.term:
+                await call(
+                    target,
+                    PURPOSE,
+                    "fence",
+                    view.term,
+                    me,
+                    timeout_s=PROBE_TIMEOUT_S,
+                )
+            await call(
+                target,
+                PURPOSE,
+                "follow",
+                view.term,
+                view.primary,
+                timeout_s=PROBE_TIMEOUT_S,
+            )
+        except (
+            exceptions.AnswerLost,
+            exceptions.NotRunError,
+            exceptions.CommandFailed,
+        ) as exc:
+            event(log.debug, "repair_failed", target=target.name, error=exc)
+
+    def _is_silent(self, target):
+        last = self._heard.get(target, float("-inf"))
+        return clock.now() - last > SUSPECT_S
+
+    def _recent(self, names):
+        """Return the statuses heard lately."""
+        earliest = clock.now() - HEARD_S
+        roles = self._core.groups.roles
+        return [
+            roles[name]
+            for name in names
+            if self._heard.get(name, float("-inf")) > earliest
+        ]
+
+    async def _consider_forever(self, group, names):
+        since = {}
+        await clock.pause(HEARD_S)
+        while True:
+            await clock.pause(PROBE_INTERVAL_S / 2)
+            statuses = self._recent(names)
+            self._learn_leader(group, statuses)
+            await self._retire_leaving(group, names)
+            wish = self._wish(group, statuses)
+            if wish is None:
+                since.clear()
+                continue
+            # A rising term shows another proposer at work, which gets its
+            # time before this one tries again.
+            highest = max(status.term for status in statuses)
+            began = since.setdefault((wish, highest), clock.now())
+            place = self._place(group, names)
+            wait_s = promotion.stagger_s(place, self._core.rng)
+            if wish != "suspected":
+                wait_s += place * PLANNED_STEP_S
+            if clock.now() - began >= wait_s:
+                since.clear()
+                await self._act(group, wish)
+
+    def _learn_leader(self, group, statuses):
+        leader = promotion.find_leader(statuses)
+        if leader is None:
+            return
+        view = views.GroupView(
+            group, leader.term, leader.primary, leader.voters
+        )
+        if self._core.groups.learn(view):
+            self._core.spreading.publish_views([view])
+
+    def _wish(self, group, statuses):
+        """Return what the group lacks: None if nothing."""
+        view = self._core.groups.view(group)
+        voters = promotion.agreed_voters(statuses, view.voters)
+        heard = {status.name for status in statuses}
+        if not majorities.has_majority(voters, heard):
+            return None
+        if not view.primary or self._is_silent(view.primary):
+            return "suspected"
+        if max(status.term for status in statuses) > view.term:
+            return "suspected"
+        return self._planned_wish(group, view)
+
+    def _planned_wish(self, group, view):
+        plan = self._core.configuration.plan
+        staying = plan.staying(group)
+        if view.primary not in staying:
+            return "switchover"
+        if majorities.next_voters(view.voters, staying) != view.voters:
+            return "voters"
+        return None
+
+    def _place(self, group, names):
+        """Return this instance's place among the group's watchers."""
+        plan = self._core.configuration.plan
+        watchers = {}
+        for name in names:
+            target = plan.targets.get(name)
+            if target is None:
+                continue
+            for member in self._core.members.homes(target)[:1]:
+                watchers[member.name] = member
+        order = homes.rank(watchers.values(), group)
+        me = self._core.members.me.name
+        ranked = [member.name for member in order]
+        return ranked.index(me) if me in ranked else len(ranked)
+
+    async def _act(self, group, wish):
+        match wish:
+            case "suspected":
+                if not await self._seen_by_others(group):
+                    await self._core.promotions.promote(group, wish)
+            case _:
+                await self._core.promotions.promote(group, wish)
+
+    async def _seen_by_others(self, group):
+        """Return whether another watcher hears the primary."""
+        plan = self._core.configuration.plan
+        asked = {}
+        for name in plan.groups[group].targets:
+            for member in self._core.members.homes(plan.targets[name])[:1]:
+                asked[member.name] = member
+        asked.pop(self._core.members.me.name, None)
+        answers = await asyncio.gather(
+            *(self._ask_sight(member, group) for member in asked.values())
+        )
+        view = self._core.groups.view(group)
+        return any(
+            sight is not None
+            and sight.term >= view.term
+            and sight.silent_s < SUSPECT_S / 2
+            and view.primary
+            for sight in answers
+        )
+
+    async def _ask_sight(self, member, group):
+        try:
+            return await self._core.links.peers.sight(
+                member, group, SIGHT_TIMEOUT_S
+            )
+        except exceptions.PeerUnavailable:
+            return None
+
+    async def _retire_leaving(self, group, names):
+        """Fence for good the targets that left the voters."""
+        view = self._core.groups.view(group)
+        plan = self._core.configuration.plan
+        for name in names:
+            status = self._core.groups.roles.get(name)
+            leaving = plan.is_leaving(name) and name not in view.voters
+            if not leaving or status is None or not view.voters:
+                continue
+            if status.role == "retired" or self._is_silent(name):
+                continue
+            try:
+                await self._core.control.call(
+                    plan.targets[name],
+                    PURPOSE,
+                    "retire",
+                    view.term,
+                    timeout_s=PROBE_TIMEOUT_S,
+                )
+            except (
+                exceptions.AnswerLost,
+                exceptions.NotRunError,
+                exceptions.CommandFailed,
+            ):
+                continue
+            event(log.info, "target_retired", group=group, target=name)
--- /dev/null
+++ b/balsamhinge/core.py
@@ -0,0 +1,183 @@
+"""The controllers of one instance, without its outer edges."""
+
+import asyncio
+import random
+
+import attrs
+import logbook
+
+from balsamhinge import exceptions
+from balsamhinge import links
+from balsamhinge.controllers import clock
+from balsamhinge.controllers import configuration
+from balsamhinge.controllers import confirmations
+from balsamhinge.controllers import control
+from balsamhinge.controllers import gates
+from balsamhinge.controllers import groups
+from balsamhinge.controllers import members
+from balsamhinge.controllers import progress
+from balsamhinge.controllers import promotions
+from balsamhinge.controllers import spreading
+from balsamhinge.controllers import transactions
+from balsamhinge.controllers import watching
+from balsamhinge.filters import entry
+from balsamhinge.filters import home
+from balsamhinge.logs import event
+
+__all__ = ["Core", "Options"]
+
+CATCH_UP_PEERS = 5
+START_S = 2.0
+DRAIN_POLL_S = 0.02
+
+log = logbook.Logger(__name__)
+
+
+@attrs.frozen
+class Options:
+    """How an instance behaves.
+
+    Parameters
+    ----------
+    token_key : bytes
+        Secret for session tokens, the same on all instances.
+    baseline : bool
+        The simplest policy, for comparison: every instance opens its own
+        share of connections, first in, first out, nothing is refused and
+        only aged reads go to replicas.
+    shares : int
+        Instances that divide the connections in the baseline.
+    seed : int
+        Seed of all random choices.
+    """
+
+    token_key: bytes
+    baseline: bool = False
+    shares: int = 0
+    seed: int = 0
+
+
+class Core:
+    """One instance: its state and the chains that requests pass.
+
+    Parameters
+    ----------
+    me : Member
+        This instance.
+    links_ : Links
+        Everything outside it.
+    options : Options
+        How it behaves.
+    seeds : list of Member
+        Instances known from the settings.
+    """
+
+    def __init__(self, me, links_, options, seeds=()):
+        self.links = links_
+        self.options = options
+        self.rng = random.Random(f"{options.seed}/{me.name}")
+        self.configuration = configuration.ConfigurationController(
+            links_.store
+        )
+        self.members = members.MembersController(me, seeds, options.baseline)
+        self.groups = groups.GroupsController()
+        self.control = control.ControlConnections(links_.targets)
+        self.confirmations = confirmations.ConfirmationsController(
+            self.control
+        )
+        self.progress = progress.ProgressController(self.control)
+        self.gates = gates.GatesController(
+            links_.targets, not options.baseline, options.shares
+        )
+        self.transactions = transactions.TransactionsController(me.name)
+        self.spreading = spreading.SpreadingController(
+            links_, self.configuration, self.members, self.groups, self.rng
+        )
+        self.promotions = promotions.PromotionsController(self)
+        self.watching = watching.WatchingController(self)
+        self.home = home.HomeChain(self)
+        self.entry = entry.EntryChain(self)
+        self.stopping = False
+        self.in_flight = 0
+        self._tasks = set()
+
+    @property
+    def name(self):
+        """Return the name of this instance."""
+        return self.members.me.name
+
+    @property
+    def ready(self):
+        """Whether new work should be sent here."""
+        return self.configuration.version > 0 and not self.stopping
+
+    def spawn(self, coroutine):
+        """Run a coroutine beside the requests."""
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def start(self):
+        """Learn what the store and others know, then start all loops."""
+        self.spreading.start()
+        self.transactions.start()
+        await self._catch_up()
+        self.watching.start()
+        event(
+            log.info,
+            "instance_started",
+            instance=self.name,
+            configuration=self.configuration.version,
+        )
+
+    async def _catch_up(self):
+        try:
+            async with asyncio.timeout(START_S):
+                stored = await self.links.store.get(links.CONFIGURATION_KEY)
+            self.configuration.learn_stored(stored)
+        except (TimeoutError, exceptions.StoreUnavailable) as exc:
+            event(log.warning, "store_unavailable_at_start", error=exc)
+        others = self.members.others()
+        chosen = self.rng.sample(others, min(CATCH_UP_PEERS, len(others)))
+        await self.spreading.catch_up(chosen)
+
+    async def stop(self, patience_s):
+        """Stop without cutting a request in flight.
+
+        Parameters
+        ----------
+        patience_s : float
+            Seconds to wait for work and transactions that are open.
+        """
+        self.stopping = True
+        self.members.set_leaving()
+        self.spreading.publish_views([])
+        deadline = clock.now() + patience_s
+        while self.in_flight or len(self.transactions):
+            if clock.now() >= deadline:
+                event(
+                    log.warning,
+                    "stopped_with_work_open",
+                    in_flight=self.in_flight,
+                    transactions=len(self.transactions),
+                )
+                break
+            await clock.pause(DRAIN_POLL_S)
+        await self.halt()
+
+    async def halt(self):
+        """Stop every loop and close every connection."""
+        self.watching.stop()
+        self.spreading.stop()
+        self.transactions.stop()
+        for task in list(self._tasks):
+            task.cancel()
+        await self.gates.close()
+        await self.control.close()
+
+    def sight(self, group):
+        """Return this instance's `Sight` of a group's primary."""
+        view = self.groups.view(group)
+        silent_s = min(self.watching.silent_s(group), 1e9)
+        return links.Sight(group, view.term, silent_s)
--- /dev/null
+++ b/balsamhinge/exceptions.py
@@ -0,0 +1,129 @@
+"""The exception tree of balsamhinge."""
+
+__all__ = [
+    "AnswerLost",
+    "BalsamhingeError",
+    "CommandFailed",
+    "ConfigurationError",
+    "ConnectionUnavailable",
+    "InvalidToken",
+    "NotRunError",
+    "PeerUnavailable",
+    "StoreConflict",
+    "StoreUnavailable",
+    "TargetRefused",
+    "TransactionUnknown",
+]
+
+
+class BalsamhingeError(Exception):
+    """Base class of every error that balsamhinge raises."""
+
+
+class ConfigurationError(BalsamhingeError):
+    """A text or a settings file has findings.
+
+    Parameters
+    ----------
+    findings : list of Finding
+        Every finding, each with its place.
+    """
+
+    def __init__(self, findings):
+        super().__init__("\n".join(str(finding) for finding in findings))
+        self.findings = findings
+
+
+class InvalidToken(BalsamhingeError):
+    """A session token is malformed or its signature does not match."""
+
+
+class TransactionUnknown(BalsamhingeError):
+    """No open transaction has the given identifier."""
+
+
+class NotRunError(BalsamhingeError):
+    """The request was certainly not run.
+
+    Parameters
+    ----------
+    reason : str
+        Why, in words for the caller.
+    retry_after_s : float
+        Seconds after which another attempt is worthwhile.
+    """
+
+    def __init__(self, reason, retry_after_s=0.0):
+        super().__init__(reason)
+        self.reason = reason
+        self.retry_after_s = retry_after_s
+
+
+class ConnectionUnavailable(NotRunError):
+    """No connection to the target could be opened; nothing was sent."""
+
+
+class TargetRefused(NotRunError):
+    """The target itself refused the work; nothing of it is kept.
+
+    Parameters
+    ----------
+    sqlstate : str
+        The five-character code that the target gave.
+    message : str
+        The message that the target gave.
+    """
+
+    def __init__(self, sqlstate, message):
+        super().__init__(message)
+        self.sqlstate = sqlstate
+
+
+class CommandFailed(BalsamhingeError):
+    """One command of a pipeline failed at the target.
+
+    Parameters
+    ----------
+    index : int
+        The place of the failed command in the pipeline.
+    sqlstate, message : str
+        What the target answered.
+    results : list of CommandResult
+        The results of the commands before it.
+    """
+
+    def __init__(self, index, sqlstate, message, results):
+        super().__init__(f"{sqlstate}: {message}")
+        self.index = index
+        self.sqlstate = sqlstate
+        self.message = message
+        self.results = results
+
+
+class AnswerLost(BalsamhingeError):
+    """Work was sent and no answer came: its outcome is unknown."""
+
+
+class PeerUnavailable(BalsamhingeError):
+    """Another instance did not answer.
+
+    Parameters
+    ----------
+    instance : str
+        Its name.
+    sent : bool
+        Whether the request may have reached it.
+    """
+
+    def __init__(self, instance, sent):
+        super().__init__(f"instance {instance} did not answer")
+        self.instance = instance
+        self.sent = sent
+
+
+class StoreUnavailable(BalsamhingeError):
+    """The platform's store did not answer, or refused for its rate."""
+
+
+class StoreConflict(BalsamhingeError):
+    """A conditional update named a version that is no longer current."""
--- /dev/null
+++ b/balsamhinge/policy/admission.py
@@ -0,0 +1,198 @@
+"""Which request runs next at a target, and which is refused at once.
+
+One queue per target, held by the target's home, so that short work can
+overtake long work before it reaches the target.
+"""
+
+import collections
+import itertools
+
+import attrs
+
+__all__ = ["AdmissionQueue", "Limits", "Ticket"]
+
+SERVICE_TIME_WEIGHT = 0.1
+INITIAL_SHORT_S = 0.002
+INITIAL_LONG_S = 0.2
+
+
+@attrs.frozen
+class Limits:
+    """What a target can run.
+
+    Parameters
+    ----------
+    slots : int
+        Statements at once.
+    reserved_short : int
+        Slots that long work never takes.
+    ordered : bool
+        Whether the queue orders and refuses; False is the first-in,
+        first-out baseline.
+    """
+
+    slots: int
+    reserved_short: int = 1
+    ordered: bool = True
+
+    @property
+    def long_slots(self):
+        """Return how many long requests may run at once."""
+        if not self.ordered:
+            return self.slots
+        return max(1, self.slots - self.reserved_short)
+
+
+@attrs.define(eq=False)
+class Ticket:
+    """One request before a target.
+
+    Parameters
+    ----------
+    service : str
+        Whose share it uses.
+    urgent : bool
+        Writes and read-your-writes go before aged reads.
+    long : bool
+        Whether it is a straggler.
+    deadline : float
+        Loop time in seconds after which nobody waits for it.
+    started : float
+        Loop time in seconds when it took a slot.
+    """
+
+    service: str
+    urgent: bool
+    long: bool
+    deadline: float
+    started: float = 0.0
+    order: int = 0
+    abandoned: bool = False
+
+
+class AdmissionQueue:
+    """Requests that wait for a target's slots.
+
+    Parameters
+    ----------
+    limits : Limits
+        What the target can run.
+    """
+
+    def __init__(self, limits):
+        self.limits = limits
+        self.running = set()
+        self._waiting = []
+        self._orders = itertools.count()
+        self._usage = collections.Counter()
+        self.short_s = INITIAL_SHORT_S
+        self.long_s = INITIAL_LONG_S
+
+    def __len__(self):
+        return len(self._waiting)
+
+    def predicted_wait_s(self, ticket):
+        """Return the expected wait of a new ticket in seconds."""
+        ahead = [t for t in self._waiting if self._goes_before(t, ticket)]
+        slots = self.limits.slots
+        if ticket.long:
+            slots = self.limits.long_slots
+        elif self._running_long() >= self.limits.long_slots:
+            slots = max(1, slots - self.limits.long_slots)
+        work = sum(self._expected_s(t) for t in ahead)
+        work += sum(
+            self._expected_s(t) / 2
+            for t in self.running
+            if t.long == ticket.long
+        )
+        if len(self.running) < self.limits.slots and not ahead:
+            return 0.0
+        return work / slots
+
+    def offer(self, ticket, now):
+        """Queue a ticket unless it can not meet its deadline.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The request.
+        now : float
+            Loop time in seconds.
+
+        Returns
+        -------
+        float
+            0 if it was queued, else the seconds after which another
+            attempt is worthwhile; nothing of a refused one was run.
+        """
+        if self.limits.ordered:
+            wait = self.predicted_wait_s(ticket)
+            finish = now + wait + self._expected_s(ticket)
+            if finish > ticket.deadline:
+                return max(wait, self.short_s)
+        ticket.order = next(self._orders)
+        self._waiting.append(ticket)
+        return 0.0
+
+    def start_next(self, now):
+        """Return the ticket that takes a slot now, or None."""
+        if len(self.running) >= self.limits.slots:
+            return None
+        self._waiting = [t for t in self._waiting if not t.abandoned]
+        allowed = [t for t in self._waiting if self._may_run(t)]
+        if not allowed:
+            return None
+        ticket = min(allowed, key=self._preference)
+        self._waiting.remove(ticket)
+        self.running.add(ticket)
+        ticket.started = now
+        return ticket
+
+    def expire(self, now):
+        """Remove and return the tickets whose deadline has passed."""
+        expired = [t for t in self._waiting if t.deadline <= now]
+        for ticket in expired:
+            self._waiting.remove(ticket)
+        return expired
+
+    def finish(self, ticket, now):
+        """Free a ticket's slot and learn how long it took."""
+        self.running.discard(ticket)
+        spent = now - ticket.started
+        self._usage[ticket.service] += spent
+        if not self._waiting:
+            self._usage.clear()
+        weight = SERVICE_TIME_WEIGHT
+        if ticket.long:
+            self.long_s += weight * (spent - self.long_s)
+        else:
+            self.short_s += weight * (spent - self.short_s)
+
+    def _running_long(self):
+        return sum(1 for ticket in self.running if ticket.long)
+
+    def _may_run(self, ticket):
+        if not ticket.long:
+            return True
+        return self._running_long() < self.limits.long_slots
+
+    def _expected_s(self, ticket):
+        return self.long_s if ticket.long else self.short_s
+
+    def _preference(self, ticket):
+        if not self.limits.ordered:
+            return (ticket.order,)
+        return (
+            not ticket.urgent,
+            ticket.long,
+            self._usage[ticket.service],
+            ticket.deadline,
+            ticket.order,
+        )
+
+    def _goes_before(self, other, ticket):
+        return (not other.urgent, other.long, other.deadline) <= (
+            not ticket.urgent,
+            ticket.long,
+            ticket.deadline,
+        )
--- /dev/null
+++ b/balsamhinge/policy/hashing.py
@@ -0,0 +1,15 @@
+"""One hash for places, digests and fingerprints."""
+
+import xxhash
+
+__all__ = ["hash_bytes", "hash_text"]
+
+
+def hash_bytes(data):
+    """Return a 64-bit hash of bytes, the same on every instance."""
+    return xxhash.xxh3_64_intdigest(data)
+
+
+def hash_text(text):
+    """Return a 64-bit hash of a text, the same on every instance."""
+    return hash_bytes(text.encode())
--- /dev/null
+++ b/balsamhinge/policy/outcomes.py
@@ -0,0 +1,108 @@
+"""What an entry instance does with the reply to one attempt."""
+
+import attrs
+
+from balsamhinge.policy import messages
+
+__all__ = ["Attempts", "Finish", "TryNext", "WaitForChange", "next_step"]
+
+Reason = messages.Reason
+MOVED = (
+    Reason.SUPERSEDED,
+    Reason.NO_PRIMARY,
+    Reason.NO_TARGET,
+    Reason.DRAINING,
+    Reason.NOT_CONFIRMED,
+    Reason.ANSWER_LOST,
+)
+
+
+@attrs.frozen
+class Finish:
+    """Give this reply to the caller."""
+
+    reply: messages.Reply
+
+
+@attrs.frozen
+class TryNext:
+    """Try the next candidate at once."""
+
+
+@attrs.frozen
+class WaitForChange:
+    """Try again once the view changes, or after a short pause."""
+
+
+@attrs.define
+class Attempts:
+    """What the attempts of one request have shown.
+
+    Parameters
+    ----------
+    write : bool
+        Whether the request changes data.
+    doubt : Reply or None
+        The first reply of unknown outcome to a write. Only a reply that
+        finds the request recorded can remove it.
+    last : Reply or None
+        The latest reply.
+    """
+
+    write: bool
+    doubt: messages.Reply | None = None
+    last: messages.Reply | None = None
+
+    def record(self, reply):
+        """Take note of a reply."""
+        self.last = reply
+        unknown = reply.outcome is messages.Outcome.UNKNOWN
+        if self.write and unknown and self.doubt is None:
+            self.doubt = reply
+
+    def conclusion(self):
+        """Return the reply for a caller when the time is over."""
+        if self.doubt is not None:
+            return self.doubt
+        if self.last is not None:
+            return self.last
+        return messages.Reply.not_run(
+            Reason.NO_PRIMARY, "no primary was found before the deadline"
+        )
+
+
+def next_step(attempts, reply, more_candidates):
+    """Decide what follows a reply.
+
+    Parameters
+    ----------
+    attempts : Attempts
+        What went before; already has `reply` recorded.
+    reply : Reply
+        Of the latest attempt.
+    more_candidates : bool
+        Whether another target can be tried at once.
+
+    Returns
+    -------
+    Finish, TryNext or WaitForChange
+
+    Notes
+    -----
+    A write of unknown outcome is tried again under the same identifier.
+    The target records the identifier in the transaction of the write, so
+    that of all attempts at most one is kept and the others find it.
+    """
+    if reply.outcome is messages.Outcome.DONE:
+        return Finish(reply)
+    match reply.reason:
+        case Reason.ID_REUSED:
+            return Finish(reply)
+        case Reason.DATABASE | Reason.TRANSACTION:
+            return Finish(attempts.conclusion())
+        case Reason.OVERLOADED if not more_candidates:
+            return Finish(attempts.conclusion())
+        case _ if more_candidates:
+            return TryNext()
+        case _:
+            return WaitForChange()
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes at the interfaces, for tests on the virtual clock."""
