--- /dev/null
+++ b/balsamhinge/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the daemon."""
+
+import sys
+
+from balsamhinge import daemon
+
+sys.exit(daemon.main())
--- /dev/null
+++ b/balsamhinge/api/server.py
@@ -0,0 +1,73 @@
+"""CherryPy's server: callers' requests and operators' pages."""
+
+import cherrypy
+
+from balsamhinge.api import bridge
+from balsamhinge.api import callers
+from balsamhinge.api import operators
+
+__all__ = ["ApiServer"]
+
+# More threads than admission lets wait, so that the queue at the gates
+# and not the server's own decides who goes first.
+THREADS = 128
+# The default of 5 drops connections at a crest; they return after 1 s.
+LISTEN_BACKLOG = 512
+SOCKET_TIMEOUT_S = 60
+CALLERS_PATH = "/v1/services"
+
+
+class ApiServer:
+    """Serves HTTP in CherryPy's threads.
+
+    Parameters
+    ----------
+    core : Core
+        The instance's controllers.
+    settings : Settings
+        Addresses, tokens and certificates.
+    loop : asyncio.AbstractEventLoop
+        The one loop.
+    """
+
+    def __init__(self, core, settings, loop):
+        self._bridge = bridge.Bridge(loop)
+        self._core = core
+        self._settings = settings
+
+    def start(self):
+        """Listen."""
+        settings = self._settings
+        cherrypy.config.update(
+            {
+                "global": {
+                    "environment": "production",
+                    "engine.autoreload.on": False,
+                    "log.screen": False,
+                    "server.socket_host": settings.callers.host,
+                    "server.socket_port": settings.callers.port,
+                    "server.thread_pool": THREADS,
+                    "server.socket_queue_size": LISTEN_BACKLOG,
+                    "server.socket_timeout": SOCKET_TIMEOUT_S,
+                    "checker.on": False,
+                }
+            }
+        )
+        if settings.callers.certificate:
+            cherrypy.server.ssl_module = "builtin"
+            cherrypy.server.ssl_certificate = settings.callers.certificate
+            cherrypy.server.ssl_private_key = settings.callers.key
+        application = callers.CallersApplication(
+            self._bridge, self._core, settings.callers.token
+        )
+        cherrypy.tree.graft(application, CALLERS_PATH)
+        health = operators.HealthPages(self._bridge, self._core)
+        health.operator = operators.OperatorPages(
+            self._bridge, self._core, settings.operator_token
+        )
+        cherrypy.tree.mount(health, "/")
+        cherrypy.engine.start()
+
+    def stop(self):
+        """End what is being answered and close."""
+        cherrypy.engine.exit()
--- a/balsamhinge/configuration/parsing.py
+++ b/balsamhinge/configuration/parsing.py
@@ -5,10 +5,10 @@
 
 import iniconfig
 
-from balsamhinge import exceptions
 from balsamhinge.configuration import checks
 from balsamhinge.configuration import findings
 from balsamhinge.configuration import plan
+from balsamhinge import exceptions
 
 __all__ = ["SectionReader", "parse_plan", "read_ini"]
 
@@ -202,8 +202,7 @@
         long=reader.choice("length", ["short", "long"], "short") == "long",
         deadline_s=reader.number("deadline_ms", 2000, 10, 600_000)
         / MILLISECONDS,
-        max_age_s=reader.number("max_age_ms", 0, 0, 86_400_000)
-        / MILLISECONDS,
+        max_age_s=reader.number("max_age_ms", 0, 0, 86_400_000) / MILLISECONDS,
     )
 
 
--- a/balsamhinge/controllers/configuration.py
+++ b/balsamhinge/controllers/configuration.py
@@ -6,13 +6,13 @@
 import logbook
 import msgspec
 
-from balsamhinge import exceptions
-from balsamhinge import links
 from balsamhinge.configuration import checks
 from balsamhinge.configuration import findings
 from balsamhinge.configuration import parsing
 from balsamhinge.configuration import plan
 from balsamhinge.controllers import events
+from balsamhinge import exceptions
+from balsamhinge import links
 from balsamhinge.logs import event
 
 __all__ = ["Applied", "ConfigurationController"]
--- a/balsamhinge/controllers/control.py
+++ b/balsamhinge/controllers/control.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from balsamhinge import exceptions
 from balsamhinge.controllers import clock
+from balsamhinge import exceptions
 
 __all__ = ["ControlConnections"]
 
--- a/balsamhinge/controllers/gates.py
+++ b/balsamhinge/controllers/gates.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from balsamhinge import exceptions
 from balsamhinge.controllers import clock
 from balsamhinge.controllers import pools
+from balsamhinge import exceptions
 from balsamhinge.policy import admission
 
 __all__ = ["Gate", "GatesController"]
--- a/balsamhinge/controllers/groups.py
+++ b/balsamhinge/controllers/groups.py
@@ -29,9 +29,7 @@
 
     def learn(self, view):
         """Take a view if it is newer; return whether it was."""
-        if not view.term or not views.newer(
-            view, self._views.get(view.group)
-        ):
+        if not view.term or not views.newer(view, self._views.get(view.group)):
             return False
         self._views[view.group] = view
         successor = self._successors.pop(view.group, None)
--- a/balsamhinge/controllers/pools.py
+++ b/balsamhinge/controllers/pools.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from balsamhinge import exceptions
 from balsamhinge.configuration import checks
+from balsamhinge import exceptions
 
 __all__ = ["ConnectionPool", "pool_size"]
 
--- a/balsamhinge/controllers/progress.py
+++ b/balsamhinge/controllers/progress.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from balsamhinge import exceptions
 from balsamhinge.controllers import clock
+from balsamhinge import exceptions
 from balsamhinge.policy import positions
 
 __all__ = ["ProgressController"]
--- a/balsamhinge/controllers/promotions.py
+++ b/balsamhinge/controllers/promotions.py
@@ -6,8 +6,8 @@
 import logbook
 import msgspec
 
-from balsamhinge import exceptions
 from balsamhinge.controllers import clock
+from balsamhinge import exceptions
 from balsamhinge.logs import event
 from balsamhinge.policy import majorities
 from balsamhinge.policy import promotion
@@ -86,9 +86,7 @@
                 exceptions.NotRunError,
                 exceptions.CommandFailed,
             ) as exc:
-                event(
-                    log.warning, "promotion_failed", group=group, error=exc
-                )
+                event(log.warning, "promotion_failed", group=group, error=exc)
                 return None
 
     async def _promote(self, group, reason, preferred):
@@ -141,9 +139,7 @@
             for name in voters
             if plan.is_leaving(name) or name not in following
         }
-        chosen = promotion.choose_candidate(
-            fenced, voters, avoided, preferred
-        )
+        chosen = promotion.choose_candidate(fenced, voters, avoided, preferred)
         if chosen.name not in following:
             raise exceptions.NotRunError(
                 f"only the leaving {chosen.name} holds {chosen.received}"
--- a/balsamhinge/controllers/spreading.py
+++ b/balsamhinge/controllers/spreading.py
@@ -6,9 +6,9 @@
 import logbook
 import msgspec
 
+from balsamhinge.controllers import clock
 from balsamhinge import exceptions
 from balsamhinge import links
-from balsamhinge.controllers import clock
 from balsamhinge.logs import event
 from balsamhinge.policy import homes
 from balsamhinge.policy import spread
@@ -219,9 +219,7 @@
                 stored = await self._links.store.watch(key, version, WATCH_S)
             except exceptions.StoreUnavailable:
                 self.store_answers = False
-                await clock.pause(
-                    STORE_RETRY_S * self._rng.uniform(0.5, 1.5)
-                )
+                await clock.pause(STORE_RETRY_S * self._rng.uniform(0.5, 1.5))
                 continue
             self.store_answers = True
             if stored is not None:
--- a/balsamhinge/controllers/transactions.py
+++ b/balsamhinge/controllers/transactions.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from balsamhinge import exceptions
 from balsamhinge.controllers import clock
+from balsamhinge import exceptions
 
 __all__ = ["OpenTransaction", "TransactionsController", "owner_of"]
 
--- a/balsamhinge/controllers/watching.py
+++ b/balsamhinge/controllers/watching.py
@@ -4,8 +4,8 @@
 
 import logbook
 
-from balsamhinge import exceptions
 from balsamhinge.controllers import clock
+from balsamhinge import exceptions
 from balsamhinge.logs import event
 from balsamhinge.policy import homes
 from balsamhinge.policy import majorities
@@ -74,9 +74,7 @@
                 )
             ]
             try:
-                await asyncio.wait(
-                    waits, return_when=asyncio.FIRST_COMPLETED
-                )
+                await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
             finally:
                 for wait in waits:
                     wait.cancel()
--- a/balsamhinge/core.py
+++ b/balsamhinge/core.py
@@ -6,8 +6,6 @@
 import attrs
 import logbook
 
-from balsamhinge import exceptions
-from balsamhinge import links
 from balsamhinge.controllers import clock
 from balsamhinge.controllers import configuration
 from balsamhinge.controllers import confirmations
@@ -20,8 +18,10 @@
 from balsamhinge.controllers import spreading
 from balsamhinge.controllers import transactions
 from balsamhinge.controllers import watching
+from balsamhinge import exceptions
 from balsamhinge.filters import entry
 from balsamhinge.filters import home
+from balsamhinge import links
 from balsamhinge.logs import event
 
 __all__ = ["Core", "Options"]
@@ -176,6 +176,17 @@
         await self.gates.close()
         await self.control.close()
 
+    async def apply_text(self, text, base, author):
+        """Accept an edit of the operators' text, and push it at once.
+
+        See `ConfigurationController.apply`.
+        """
+        applied = await self.configuration.apply(
+            text, base, author, self.groups.retired
+        )
+        self.spreading.publish_text()
+        return applied
+
     def sight(self, group):
         """Return this instance's `Sight` of a group's primary."""
         view = self.groups.view(group)
--- /dev/null
+++ b/balsamhinge/daemon.py
@@ -0,0 +1,131 @@
+"""balsamhinged: one entry instance."""
+
+import argparse
+import asyncio
+import signal
+import sys
+import time
+
+import logbook
+
+from balsamhinge.api import server as api_server
+from balsamhinge import core
+from balsamhinge import exceptions
+from balsamhinge import links
+from balsamhinge import logs
+from balsamhinge.peers import client as peer_client
+from balsamhinge.peers import server as peer_server
+from balsamhinge.platform import client as platform_client
+from balsamhinge import settings as settings_module
+from balsamhinge.targets import postgres
+
+__all__ = ["Daemon", "main"]
+
+BAD_SETTINGS = 2
+
+log = logbook.Logger(__name__)
+
+
+class Daemon:
+    """The outer edges around one instance's controllers.
+
+    Parameters
+    ----------
+    settings : Settings
+        What the instance was told.
+    """
+
+    def __init__(self, settings):
+        self._settings = settings
+        self._stop = asyncio.Event()
+        self._store = platform_client.HttpStore(
+            settings.platform_url, settings.platform_token
+        )
+        self._peers = peer_client.GrpcPeers(settings.peers)
+        outside = links.Links(
+            store=self._store,
+            peers=self._peers,
+            targets=postgres.PostgresLink(
+                settings.targets.user,
+                settings.targets.password,
+                settings.targets.database,
+            ),
+            wall_time=time.time,
+        )
+        options = core.Options(
+            settings.session_key,
+            settings.baseline,
+            settings.shares,
+            settings.seed,
+        )
+        self.core = core.Core(
+            settings.member, outside, options, settings.seeds
+        )
+        self._server = peer_server.PeerServer(self.core, settings.peers)
+        self._api = api_server.ApiServer(
+            self.core, settings, asyncio.get_running_loop()
+        )
+
+    async def start(self):
+        """Serve other instances, then callers."""
+        await self._server.start(self._settings.member.address)
+        await self.core.start()
+        self._api.start()
+
+    def request_stop(self):
+        """Begin a graceful stop; a second request changes nothing."""
+        self._stop.set()
+
+    async def run(self):
+        """Serve until a stop is requested, then stop gracefully."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.request_stop)
+        await self.start()
+        await self._stop.wait()
+        await self.stop()
+
+    async def stop(self):
+        """Let open work end, and close everything."""
+        patience = self._settings.stop_patience_s
+        logs.event(log.info, "stopping", instance=self.core.name)
+        await self.core.stop(patience)
+        await asyncio.to_thread(self._api.stop)
+        await self._server.stop(1.0)
+        await self._peers.close()
+        await self._store.close()
+        logs.event(log.info, "stopped", instance=self.core.name)
+
+
+async def run_daemon(settings):
+    """Run one instance until it is told to stop."""
+    await Daemon(settings).run()
+
+
+def main(argv=None):
+    """Run the program; return its exit code."""
+    parser = argparse.ArgumentParser(
+        prog="balsamhinged", description="Run one entry instance."
+    )
+    parser.add_argument("settings", help="path of the settings file")
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and end"
+    )
+    args = parser.parse_args(argv)
+    try:
+        settings = settings_module.Settings.from_file(args.settings)
+    except exceptions.ConfigurationError as exc:
+        print(exc, file=sys.stderr)
+        return BAD_SETTINGS
+    except OSError as exc:
+        print(f"{args.settings}: {exc.strerror}", file=sys.stderr)
+        return BAD_SETTINGS
+    if args.check:
+        return 0
+    logs.set_up(settings.log_level)
+    asyncio.run(run_daemon(settings))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/balsamhinge/embedded.py
@@ -0,0 +1,163 @@
+"""One instance with all stand-ins in the same process, for a first look."""
+
+import argparse
+import asyncio
+import secrets
+import signal
+import sys
+
+import msgspec
+
+from balsamhinge import daemon
+from balsamhinge import links
+from balsamhinge import logs
+from balsamhinge import settings as settings_module
+from balsamhinge.standins import database
+from balsamhinge.standins import platform
+from balsamhinge.standins import store
+from balsamhinge.standins import target
+
+__all__ = ["main"]
+
+HOST = "127.0.0.1"
+TARGETS = ("first", "second", "third")
+TEXT = """
+[service ladder]
+group = ladder
+shutdown = 2028-06-30
+[class submit]
+kind = write
+[class standing]
+kind = read
+[class public]
+kind = read
+max_age_ms = 10000
+[group ladder]
+targets = first, second, third
+"""
+SETTINGS = """
+[instance]
+name = embedded
+data_centre = here
+stop_patience_s = 5
+[callers]
+address = {host}:{port}
+token = off
+tls = off
+[operators]
+token = off
+[peers]
+address = {host}:{peer_port}
+secret = {secret}
+tls = off
+[platform]
+url = http://{host}:{platform_port}
+[targets]
+user = balsamhinge
+[sessions]
+key = {secret}
+[log]
+level = warning
+"""
+EXAMPLE = """
+balsamhinge runs with a stand-in platform and three stand-in targets.
+Post a result, then read it back with the session that you were given:
+
+  curl -s http://{host}:{port}/v1/services/ladder/statements -d \\
+    '{{"class": "submit", "sql": "CREATE TABLE results (player, points)"}}'
+  curl -s http://{host}:{port}/v1/services/ladder/statements -d \\
+    '{{"class": "submit", "sql": "INSERT INTO results VALUES ($1, $2)",
+      "params": ["asha", 3], "request_id": "match-1"}}'
+  curl -s http://{host}:{port}/v1/services/ladder/statements -d \\
+    '{{"class": "standing", "sql": "SELECT * FROM results"}}'
+
+The same request_id again gives the first answer. Operators look with
+  balsamhingectl --url http://{host}:{port} status
+End with Ctrl-C.
+"""
+
+
+class Embedded:
+    """Stand-ins and one instance on one loop.
+
+    Parameters
+    ----------
+    port : int
+        Where callers are served; the next ones serve the rest.
+    """
+
+    def __init__(self, port):
+        self._port = port
+        self._store = store.ObjectStore()
+        first = port + 3
+        self._places = {
+            name: (HOST, first + number) for number, name in enumerate(TARGETS)
+        }
+        self._targets = []
+
+    async def run(self):
+        """Serve until a signal comes."""
+        await self._start_standins()
+        secret = secrets.token_hex(16)
+        text = SETTINGS.format(
+            host=HOST,
+            port=self._port,
+            peer_port=self._port + 1,
+            platform_port=self._port + 2,
+            secret=secret,
+        )
+        settings = settings_module.Settings.from_text(text)
+        logs.set_up(settings.log_level)
+        running = daemon.Daemon(settings)
+        loop = asyncio.get_running_loop()
+        stop = asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        await running.start()
+        print(EXAMPLE.format(host=HOST, port=self._port), flush=True)
+        await stop.wait()
+        await running.stop()
+        self._platform.stop()
+        for server in self._targets:
+            server.stop()
+
+    async def _start_standins(self):
+        for name in TARGETS:
+            held = database.Database(
+                name, list(TARGETS), TARGETS[0], database.Knobs()
+            )
+            server = target.TargetServer(held, self._places)
+            await server.start()
+            self._targets.append(server)
+        loop = asyncio.get_running_loop()
+        self._platform = platform.PlatformServer(
+            self._store, HOST, self._port + 2, loop
+        )
+        self._platform.start()
+        edit = links.TextVersion(self._text(), "first", "embedded")
+        value = msgspec.json.encode(edit)
+        await self._store.put(links.CONFIGURATION_KEY, value, 0)
+
+    def _text(self):
+        parts = [TEXT]
+        for name, (host, port) in self._places.items():
+            parts.append(
+                f"[target {name}]\naddress = {host}:{port}\n"
+                "data_centre = here\n"
+            )
+        return "".join(parts)
+
+
+def main(argv=None):
+    """Run the program; return its exit code."""
+    parser = argparse.ArgumentParser(
+        prog="python -m balsamhinge.embedded", description=__doc__
+    )
+    parser.add_argument("--port", type=int, default=8080)
+    args = parser.parse_args(argv)
+    asyncio.run(Embedded(args.port).run())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/balsamhinge/filters/entry.py
+++ b/balsamhinge/filters/entry.py
@@ -5,14 +5,14 @@
 import attrs
 import logbook
 
-from balsamhinge import exceptions
-from balsamhinge import metrics
 from balsamhinge.controllers import clock
 from balsamhinge.controllers import transactions
+from balsamhinge import exceptions
 from balsamhinge.filters import chain
 from balsamhinge.filters import home
 from balsamhinge.logs import event
 from balsamhinge.logs import log_request
+from balsamhinge import metrics
 from balsamhinge.policy import messages
 from balsamhinge.policy import outcomes
 from balsamhinge.policy import positions
@@ -372,4 +372,3 @@
                 term=settled.term,
             )
         return messages.Reply.unknown(Reason.ANSWER_LOST, settled.detail)
-
--- a/balsamhinge/filters/home.py
+++ b/balsamhinge/filters/home.py
@@ -6,9 +6,9 @@
 import logbook
 import msgspec
 
-from balsamhinge import exceptions
 from balsamhinge.controllers import clock
 from balsamhinge.controllers import confirmations
+from balsamhinge import exceptions
 from balsamhinge.filters import chain
 from balsamhinge.logs import event
 from balsamhinge.policy import admission
@@ -262,9 +262,7 @@
             if not positions.covers(applied, work.needed):
                 return self._behind(req, applied)
         reply = await proceed(req)
-        groups.record_applied(
-            req.target, reply.target_applied, clock.now()
-        )
+        groups.record_applied(req.target, reply.target_applied, clock.now())
         lag_s = groups.target_view(req.target).lag_s
         return attrs.evolve(reply, lag_s=lag_s)
 
@@ -416,9 +414,7 @@
         if gate.pinned >= gate.most_pinned:
             raise exceptions.NotRunError("too many open transactions", 0.1)
         conn = await self._acquire(req)
-        guard = connection.Guard(
-            work.view.term, work.needed, work.catch_up_s, work.write
-        )
+        guard = connection.Guard(work.view.term, work.needed, write=work.write)
         try:
             await self._within_deadline(req, conn, conn.begin(guard))
         except BaseException:
--- a/balsamhinge/links.py
+++ b/balsamhinge/links.py
@@ -202,4 +202,3 @@
     peers: PeerLink
     targets: TargetLink
     wall_time: object
-
--- /dev/null
+++ b/balsamhinge/settings.py
@@ -0,0 +1,266 @@
+"""The settings file of one instance, checked as a whole."""
+
+import pathlib
+
+import attrs
+
+from balsamhinge.configuration import findings
+from balsamhinge.configuration import parsing
+from balsamhinge import exceptions
+from balsamhinge.logs import LEVELS
+from balsamhinge.peers import security
+from balsamhinge.policy import homes
+
+__all__ = ["CallerSettings", "Settings", "TargetSettings"]
+
+SECTIONS = {
+    "instance": ["name", "data_centre", "seeds", "stop_patience_s", "seed"],
+    "callers": ["address", "token", "tls", "certificate", "key"],
+    "operators": ["token"],
+    "peers": ["address", "secret", "tls", "certificate", "key", "authority"],
+    "platform": ["url", "token"],
+    "targets": ["user", "password", "database"],
+    "sessions": ["key"],
+    "log": ["level"],
+    "policy": ["baseline", "shares"],
+}
+OPTIONAL_SECTIONS = ("policy", "log")
+LEAST_SECRET_LENGTH = 16
+FILE_PREFIX = "file:"
+
+
+@attrs.frozen
+class CallerSettings:
+    """Where callers are served; without a certificate there is no TLS."""
+
+    host: str
+    port: int
+    token: str = attrs.field(repr=False)
+    certificate: str = ""
+    key: str = ""
+
+
+@attrs.frozen
+class TargetSettings:
+    """How targets are logged in to."""
+
+    user: str
+    password: str = attrs.field(repr=False)
+    database: str
+
+
+@attrs.frozen
+class Settings:
+    """Everything that one instance is told when it starts.
+
+    Parameters
+    ----------
+    member : Member
+        Name, address for other instances, and data centre.
+    seeds : list of Member
+        Other instances, to be asked while the platform is down.
+    callers : CallerSettings
+        Where callers and operators are served.
+    operator_token : str
+        What operators present.
+    peers : PeerSecurity
+        How instances recognise each other.
+    platform_url, platform_token : str
+        The platform's store.
+    targets : TargetSettings
+        How targets are logged in to.
+    session_key : bytes
+        Secret for session tokens, the same on all instances.
+    log_level : str
+        Least level of log lines.
+    stop_patience_s : int
+        Seconds that a graceful stop waits for open work.
+    baseline : bool
+        See `balsamhinge.core.Options`.
+    shares, seed : int
+        See `balsamhinge.core.Options`.
+    """
+
+    member: homes.Member
+    seeds: list[homes.Member]
+    callers: CallerSettings
+    operator_token: str = attrs.field(repr=False)
+    peers: security.PeerSecurity = attrs.field(repr=False)
+    platform_url: str
+    platform_token: str = attrs.field(repr=False)
+    targets: TargetSettings
+    session_key: bytes = attrs.field(repr=False)
+    log_level: str
+    stop_patience_s: int
+    baseline: bool
+    shares: int
+    seed: int
+
+    @classmethod
+    def from_file(cls, path):
+        """Return the settings in a file.
+
+        Raises
+        ------
+        ConfigurationError
+            With every finding.
+        """
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+        return cls.from_text(text, str(path))
+
+    @classmethod
+    def from_text(cls, text, file="settings"):
+        """Return the settings in a text, see `from_file`."""
+        found = findings.FindingList(file)
+        ini = parsing.read_ini(text, found)
+        settings = cls._from_ini(ini, found) if ini else None
+        if found.found:
+            raise exceptions.ConfigurationError(found.in_order())
+        return settings
+
+    @classmethod
+    def _from_ini(cls, ini, found):
+        for section in ini:
+            if section.name not in SECTIONS:
+                expected = ", ".join(SECTIONS)
+                found.add(
+                    ini.lineof(section.name),
+                    section.name,
+                    "unknown section",
+                    f"use: {expected}",
+                )
+        readers = {name: _reader(ini, name, found) for name in SECTIONS}
+        instance = readers["instance"]
+        peers = readers["peers"]
+        name = instance.text("name")
+        host, port = peers.address("address")
+        centre = instance.text("data_centre")
+        policy = readers["policy"]
+        platform = readers["platform"]
+        return cls(
+            member=homes.Member(name, f"{host}:{port}", centre),
+            seeds=_seeds(instance),
+            callers=_callers(readers["callers"]),
+            operator_token=_secret(readers["operators"], "token"),
+            peers=_peers(peers),
+            platform_url=platform.text("url"),
+            platform_token=_value(platform, "token"),
+            targets=_targets(readers["targets"]),
+            session_key=_secret(readers["sessions"], "key").encode(),
+            log_level=readers["log"].choice("level", LEVELS, "info"),
+            stop_patience_s=instance.number("stop_patience_s", 30, 0, 3600),
+            baseline=policy.flag("baseline", "no"),
+            shares=policy.number("shares", 0, 0, 10_000),
+            seed=instance.number("seed", 0, 0, 2**31),
+        )
+
+
+def _reader(ini, name, found):
+    if name not in ini.sections and name not in OPTIONAL_SECTIONS:
+        found.add(0, name, "the section is missing", f"add [{name}]")
+    section = _Section(ini, name)
+    reader = parsing.SectionReader(ini, section, found)
+    reader.reject_unknown_keys(SECTIONS[name])
+    return reader
+
+
+class _Section:
+    """A section that may be missing; then it has no keys."""
+
+    def __init__(self, ini, name):
+        self.name = name
+        self._ini = ini
+        self._values = ini.sections.get(name, {})
+
+    def __iter__(self):
+        return iter(self._values)
+
+    def __contains__(self, key):
+        return key in self._values
+
+    def get(self, key):
+        return self._values.get(key)
+
+    def lineof(self, key):
+        return self._ini.lineof(self.name, key)
+
+
+def _value(reader, key):
+    """Return a value, read from a file if it says file:PATH."""
+    value = reader.text(key, "")
+    if not value.startswith(FILE_PREFIX):
+        return value
+    path = pathlib.Path(value.removeprefix(FILE_PREFIX))
+    try:
+        return path.read_text(encoding="utf-8").strip()
+    except OSError as exc:
+        reader.add(key, f"{path}: {exc.strerror}", "name a readable file")
+        return ""
+
+
+def _secret(reader, key):
+    """Return a secret; "off" leaves it out by a visible choice."""
+    value = _value(reader, key)
+    if value == "off" and key == "token":
+        return ""
+    if len(value) < LEAST_SECRET_LENGTH:
+        off = " or off" if key == "token" else ""
+        reader.add(
+            key,
+            f"{key} is too short",
+            f"give at least {LEAST_SECRET_LENGTH} characters{off}",
+        )
+    return value
+
+
+def _tls_files(reader, keys):
+    """Return the paths of certificates, or empty ones for tls = off."""
+    if reader.choice("tls", ["on", "off"], "on") == "off":
+        return ["" for _key in keys]
+    paths = [reader.text(key) for key in keys]
+    for key, path in zip(keys, paths, strict=True):
+        if path and not pathlib.Path(path).is_file():
+            reader.add(key, f"{path} is no file", "name a PEM file")
+    return paths
+
+
+def _callers(reader):
+    host, port = reader.address("address")
+    certificate, key = _tls_files(reader, ["certificate", "key"])
+    token = _secret(reader, "token")
+    return CallerSettings(host, port, token, certificate, key)
+
+
+def _peers(reader):
+    keys = ["certificate", "key", "authority"]
+    paths = _tls_files(reader, keys)
+    contents = [
+        pathlib.Path(path).read_bytes()
+        if path and pathlib.Path(path).is_file()
+        else b""
+        for path in paths
+    ]
+    return security.PeerSecurity(_secret(reader, "secret"), *contents)
+
+
+def _targets(reader):
+    return TargetSettings(
+        user=reader.text("user"),
+        password=_value(reader, "password"),
+        database=reader.text("database", "postgres"),
+    )
+
+
+def _seeds(reader):
+    seeds = []
+    for word in reader.names("seeds"):
+        parts = word.split("@")
+        if len(parts) != 3:
+            reader.add(
+                "seeds",
+                f"{word!r} is no instance",
+                "write name@IP-number:port@data-centre, ...",
+            )
+            continue
+        seeds.append(homes.Member(*parts))
+    return seeds
--- /dev/null
+++ b/balsamhinge/standins/__main__.py
@@ -0,0 +1,7 @@
+"""Runs stand-ins as programs."""
+
+import sys
+
+from balsamhinge.standins import programs
+
+sys.exit(programs.main())
--- /dev/null
+++ b/balsamhinge/status.py
@@ -0,0 +1,116 @@
+"""What operators see of an instance and the groups behind it."""
+
+import datetime
+
+from balsamhinge.controllers import clock
+
+__all__ = ["group_rows", "instance_rows", "service_rows", "snapshot"]
+
+
+def snapshot(core):
+    """Return the whole status as data that JSON holds.
+
+    Parameters
+    ----------
+    core : Core
+        An instance's controllers.
+
+    Returns
+    -------
+    dict
+        Instances with the versions in force, groups with their targets,
+        and services.
+    """
+    return {
+        "instance": core.name,
+        "ready": core.ready,
+        "version": core.configuration.version,
+        "in_flight": core.in_flight,
+        "transactions": len(core.transactions),
+        "instances": instance_rows(core),
+        "groups": group_rows(core),
+        "services": service_rows(core),
+    }
+
+
+def instance_rows(core):
+    """Return one row for each instance."""
+    versions = dict(core.spreading.versions)
+    versions[core.name] = core.configuration.version
+    silent = set(core.members.silent())
+    leaving = set(core.members.leaving)
+    rows = []
+    for member in core.members.listed():
+        state = "silent" if member.name in silent else "live"
+        if member.name in leaving:
+            state = "leaving"
+        rows.append(
+            {
+                "name": member.name,
+                "data_centre": member.data_centre,
+                "state": state,
+                "version": versions.get(member.name, 0),
+            }
+        )
+    return rows
+
+
+def group_rows(core):
+    """Return one row for each target, in the order of groups."""
+    plan = core.configuration.plan
+    rows = []
+    for group in plan.groups.values():
+        view = core.groups.view(group.name)
+        for name in group.targets:
+            rows.append(_target_row(core, plan, view, name))
+    return rows
+
+
+def _target_row(core, plan, view, name):
+    status = core.groups.roles.get(name)
+    target = plan.targets[name]
+    gate = core.gates.gates.get(name)
+    homes = core.members.homes(target)
+    history = core.groups.history(view.group)
+    applied = core.groups.applied(name)
+    age_s = history.age_s(clock.now(), applied)
+    role = status.role if status else ""
+    if name == view.primary:
+        role, age_s = "primary", 0.0
+    if name in core.groups.retired:
+        role = "retired"
+    return {
+        "group": view.group,
+        "target": name,
+        "role": role,
+        "state": target.state.value,
+        "term": view.term,
+        "voter": name in view.voters,
+        "applied": str(applied),
+        "age_s": age_s,
+        "home": homes[0].name if homes else "",
+        "connections": gate.pool.open if gate else 0,
+        "queued": len(gate.queue) if gate else 0,
+    }
+
+
+def service_rows(core, today=None):
+    """Return one row for each service, the first to end first."""
+    today = today or datetime.date.today()
+    rows = []
+    for service in core.configuration.plan.services.values():
+        left = None
+        if service.shutdown is not None:
+            left = (service.shutdown - today).days
+        rows.append(
+            {
+                "service": service.name,
+                "group": service.group,
+                "depends_on": ", ".join(service.depends_on),
+                "shutdown": str(service.shutdown or ""),
+                "days_left": left,
+            }
+        )
+    never = 1_000_000
+    rows.sort(key=lambda row: (row["days_left"] or never, row["service"]))
+    return rows
--- a/balsamhinge/targets/connection.py
+++ b/balsamhinge/targets/connection.py
@@ -21,11 +21,11 @@
 ROLLBACK = messages.Statement("ROLLBACK")
 APPLIED = messages.Statement(protocol.SQL_APPLIED)
 COMMITTED = messages.Statement(protocol.SQL_COMMITTED)
-# The target undoes a transaction that an instance leaves in the middle.
-IDLE_LIMIT = messages.Statement(
-    "SET LOCAL idle_in_transaction_session_timeout = 2000"
-)
-RECORD_INDEX = 3
+# The target undoes a single write that an instance leaves in the middle,
+# and an interactive transaction only after a longer time.
+SINGLE_IDLE_MS = 2_000
+INTERACTIVE_IDLE_MS = 60_000
+RECORD_INDEX = 2
 INSERT_REQUEST = (
     f"INSERT INTO {protocol.REQUESTS_TABLE} (id, created) VALUES ($1, $2)"
 )
@@ -46,16 +46,18 @@
         Term under which the work is sent.
     needed : LogPosition
         What the target must have applied.
-    catch_up_s : float
-        Seconds it may wait for that.
     write : bool
-        Whether the target must lead at `term`.
+        Whether the target must lead at `term`; otherwise the transaction
+        becomes read-only.
+    idle_ms : int
+        Milliseconds after which the target undoes the transaction if
+        nothing more comes.
     """
 
     term: int
     needed: positions.LogPosition = positions.ORIGIN
-    catch_up_s: float = 0.0
     write: bool = False
+    idle_ms: int = SINGLE_IDLE_MS
 
     def statement(self):
         """Return the statement that checks the guard."""
@@ -67,7 +69,7 @@
                 self.term,
                 self.needed.term,
                 self.needed.offset,
-                self.catch_up_s,
+                self.idle_ms,
             ],
         )
 
@@ -149,9 +151,7 @@
 
     async def wait_applied(self, offset, timeout_s):
         """Return the status once reads see `offset`, or later."""
-        return await self._status(
-            protocol.SQL_WAIT_APPLIED, offset, timeout_s
-        )
+        return await self._status(protocol.SQL_WAIT_APPLIED, offset, timeout_s)
 
     async def _status(self, sql, *params):
         statement = messages.Statement(sql, list(params))
@@ -160,19 +160,15 @@
 
     async def read(self, guard, statements):
         """Run statements that change nothing, under a guard."""
-        commands = [
-            BEGIN_READ_ONLY,
-            guard.statement(),
-            *statements,
-            # Asked after the statements: they may see later commits than
-            # the guard did.
-            APPLIED,
-            COMMIT,
-        ]
-        results = await self._transaction(commands)
-        term = int(results[1].rows[0][0])
-        position = parse_position(results[-2])
-        return RunResult(results[2:-2], position, term)
+        # One pipeline is one transaction, and the guard makes it read-only.
+        # The position is asked for after the statements, since they may
+        # see later commits than the guard did.
+        results = await self.pipeline(
+            [guard.statement(), *statements, APPLIED]
+        )
+        term = int(results[0].rows[0][0])
+        position = parse_position(results[-1])
+        return RunResult(results[1:-1], position, term)
 
     async def write(self, guard, statements, request_id, created, encode):
         """Run statements as one transaction, at most once.
@@ -205,7 +201,6 @@
         record = messages.Statement(INSERT_REQUEST, [request_id, created])
         commands = [
             BEGIN,
-            IDLE_LIMIT,
             guard.statement(),
             record,
             *statements,
@@ -218,17 +213,23 @@
                 "the connection broke before the commit was sent"
             ) from exc
         except exceptions.CommandFailed as exc:
-            if exc.index == RECORD_INDEX and exc.sqlstate == protocol.DUPLICATE_REQUEST:
+            if (
+                exc.index == RECORD_INDEX
+                and exc.sqlstate == protocol.DUPLICATE_REQUEST
+            ):
                 return None
             raise
+        if self.idle:
+            raise exceptions.AnswerLost("a statement ended its transaction")
         kept = results[RECORD_INDEX + 1 :]
         return await self.commit(request_id, encode(kept), guard.term, kept)
 
     async def begin(self, guard):
         """Open a transaction under a guard."""
         self.commit_sent = False
+        lasting = attrs.evolve(guard, idle_ms=INTERACTIVE_IDLE_MS)
         opening = BEGIN if guard.write else BEGIN_READ_ONLY
-        await self._transaction([opening, guard.statement()])
+        await self._transaction([opening, lasting.statement()])
 
     async def commit(self, request_id, answer, term, results):
         """Commit the open transaction together with its answer."""
--- a/balsamhinge/targets/protocol.py
+++ b/balsamhinge/targets/protocol.py
@@ -49,7 +49,8 @@
 SQL_WAIT = "SELECT * FROM balsamhinge_wait($1, $2, $3)"
 # offset, seconds: answer once reads see that much
 SQL_WAIT_APPLIED = "SELECT * FROM balsamhinge_wait_applied($1, $2)"
-# mode, term, needed term, needed offset, seconds to wait for it
+# mode, term, needed term, needed offset, milliseconds of idleness after
+# which the transaction is undone; mode read makes it read-only
 SQL_GUARD = "SELECT * FROM balsamhinge_guard($1, $2, $3, $4, $5)"
 # where the log that reads see ends
 SQL_APPLIED = "SELECT * FROM balsamhinge_applied()"
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and experiment tool; not part of the shipped package."""
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -7,8 +7,8 @@
 import msgspec
 
 from balsamhinge import core
-from balsamhinge import links
 from balsamhinge.filters import entry
+from balsamhinge import links
 from balsamhinge.policy import homes
 from balsamhinge.policy import messages
 from balsamhinge.standins import database
