Promotions that do not fence against each other; ages that a cut proves

Cause, found by scenarios on the virtual clock: - a proposer waited 0.4 s for the silent target itself, and the next one in line fenced against it: six terms in a row. A majority plus 30 ms of grace is enough now. Only completed work teaches now. - the age of an old primary's data counted from its own answers; now a majority has to have answered under its term.

--- a/balsamhinge/controllers/groups.py
+++ b/balsamhinge/controllers/groups.py
@@ -6,6 +6,7 @@
 
 from balsamhinge.controllers import events
 from balsamhinge.policy import freshness
+from balsamhinge.policy import majorities
 from balsamhinge.policy import positions
 from balsamhinge.policy import routing
 from balsamhinge.policy import views
@@ -26,6 +27,7 @@
         self._targets = {}
         self._histories = {}
         self._successors = {}
+        self._asked = {}
 
     def learn(self, view):
         """Take a view if it is newer; return whether it was."""
@@ -108,6 +110,7 @@
             Seconds between two probes.
         """
         self.roles[target.name] = status
+        self._asked[target.name] = asked
         self.record_applied(target, status.applied, now)
         if status.role == "retired":
             self.learn_retired([target.name])
@@ -123,6 +126,37 @@
             usual = self.target_view(target).lag_s
             self.record_lag(target, usual + LAG_WEIGHT * (lag - usual))
 
+    def record_led(self, group, names):
+        """Work out until when the primary surely led, and what is held.
+
+        Parameters
+        ----------
+        group : str
+            The group.
+        names : list of str
+            Its targets.
+
+        Notes
+        -----
+        A probe that was asked at time t and answered under the primary's
+        term shows that this voter had taken no later term at t. With a
+        majority of such voters the primary led until the latest time for
+        which that holds.
+        """
+        view = self.view(group)
+        asked = {}
+        received = {}
+        for name in names:
+            status = self.roles.get(name)
+            if status is not None and status.term == view.term:
+                asked[name] = self._asked.get(name, float("-inf"))
+                received[name] = status.received
+        size = majorities.majority_size(view.voters)
+        times = sorted((asked[n] for n in view.voters if n in asked))
+        held = sorted(received[n] for n in view.voters if n in received)
+        if view.voters and len(times) >= size:
+            self.history(group).record_led(times[-size], held[-size])
+
     def applied(self, target):
         """Return the position that a target was last known to have."""
         known = self._targets.get(target)
--- a/balsamhinge/controllers/promotions.py
+++ b/balsamhinge/controllers/promotions.py
@@ -17,6 +17,7 @@
 
 CALL_S = 0.4
 STORE_S = 0.25
+GRACE_S = 0.03
 RECORD_RETRY_S = 1.0
 RECORD_ATTEMPTS = 300
 PURPOSE = "promote"
@@ -188,11 +189,34 @@
             )
 
     async def _ask_all(self, names, method, *args):
-        """Call a method of several targets; return those that answered."""
-        answers = await asyncio.gather(
-            *(self._ask(name, method, *args) for name in names)
-        )
-        return [status for status in answers if status is not None]
+        """Call a method of several targets.
+
+        Returns
+        -------
+        list of TargetStatus
+            Of those that answered. Once a majority has, the others get
+            only a short grace: a silent target must not hold up the
+            promotion that its silence calls for.
+        """
+        waiting = {
+            self._core.spawn(self._ask(name, method, *args)) for name in names
+        }
+        enough = majorities.majority_size(names)
+        answers = []
+        patience_s = None
+        while waiting:
+            done, waiting = await asyncio.wait(
+                waiting,
+                timeout=patience_s,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            if not done:
+                break
+            results = [task.result() for task in done]
+            answers += [status for status in results if status is not None]
+            if len(answers) >= enough:
+                patience_s = GRACE_S
+        return answers
 
     async def _ask(self, name, method, *args):
         target = self._core.configuration.plan.targets.get(name)
--- a/balsamhinge/controllers/watching.py
+++ b/balsamhinge/controllers/watching.py
@@ -38,6 +38,7 @@
     def __init__(self, core):
         self._core = core
         self._heard = {}
+        self._led = {}
         self._tasks = {}
         self._reconciler = None
 
@@ -55,9 +56,8 @@
         self._tasks.clear()
 
     def silent_s(self, group):
-        """Return for how long a group's primary was not heard of."""
-        primary = self._core.groups.view(group).primary
-        return clock.now() - self._heard.get(primary, float("-inf"))
+        """Return for how long no primary was heard to lead a group."""
+        return clock.now() - self._led.get(group, float("-inf"))
 
     def watched(self):
         """Return the names of the groups that are watched here."""
@@ -129,9 +129,14 @@
         ):
             return
         self._heard[name] = clock.now()
+        view = self._core.groups.view(group)
+        if status.role == "primary" and status.term >= view.term:
+            self._led[group] = clock.now()
         self._core.groups.record_status(
             group, target, status, asked, clock.now(), PROBE_INTERVAL_S
         )
+        names = self._core.configuration.plan.groups[group].targets
+        self._core.groups.record_led(group, names)
         await self._repair(group, target, status)
 
     async def _repair(self, group, target, status):
@@ -227,7 +232,7 @@
         heard = {status.name for status in statuses}
         if not majorities.has_majority(voters, heard):
             return None
-        if not view.primary or self._is_silent(view.primary):
+        if not view.primary or self.silent_s(group) > SUSPECT_S:
             return "suspected"
         if max(status.term for status in statuses) > view.term:
             return "suspected"
--- a/balsamhinge/filters/entry.py
+++ b/balsamhinge/filters/entry.py
@@ -24,7 +24,9 @@
 
 CHANGE_PAUSE_S = 0.05
 LEAST_ATTEMPT_S = 0.25
-ATTEMPT_SHARE = 0.5
+# Part of the remaining time that one attempt may take.
+WRITE_SHARE = 0.5
+READ_SHARE = 0.25
 FORWARD_MARGIN_S = 0.02
 
 log = logbook.Logger(__name__)
@@ -256,7 +258,8 @@
         remaining = req.deadline - clock.now()
         share = remaining
         if not req.rules.long:
-            share = max(remaining * ATTEMPT_SHARE, LEAST_ATTEMPT_S)
+            part = WRITE_SHARE if req.rules.write else READ_SHARE
+            share = max(remaining * part, LEAST_ATTEMPT_S)
         aged = req.consistency is Consistency.AGED and not req.rules.write
         return messages.Work(
             request_id=f"{req.service}/{req.request_id}",
--- a/balsamhinge/filters/home.py
+++ b/balsamhinge/filters/home.py
@@ -180,7 +180,7 @@
     async def bound_age(self, req, proceed):
         """Turn an accepted age into a position that the target needs."""
         work = req.work
-        if not work.max_age_s or work.confirm:
+        if not work.max_age_s:
             return await proceed(req)
         history = self._core.groups.history(work.group)
         bound = history.needed_for(clock.now(), work.max_age_s)
@@ -204,6 +204,8 @@
         work = req.work
         if not work.confirm or work.step in (Step.BEGIN, Step.STATEMENT):
             return reply
+        if self._is_confirmed(work, reply):
+            return reply
         view = core.groups.view(work.group)
         if view.term != work.view.term:
             view = work.view
@@ -226,6 +228,16 @@
             )
         return reply
 
+    def _is_confirmed(self, work, reply):
+        """Return whether an aged read shows confirmed entries only.
+
+        Its age is bounded already, so it need not be shown that the
+        primary still leads; cut off, it can serve for a while.
+        """
+        if work.write or not work.max_age_s:
+            return False
+        return reply.position <= self._core.groups.history(work.group).held
+
     async def _unless_superseded(self, req, running):
         """Await `running` unless the group gets another primary."""
         view = req.work.view
@@ -301,7 +313,9 @@
         )
         await req.gate.enter(ticket)
         try:
-            return await proceed(req)
+            reply = await proceed(req)
+            ticket.completed = True
+            return reply
         finally:
             req.gate.leave(ticket)
 
--- a/balsamhinge/policy/admission.py
+++ b/balsamhinge/policy/admission.py
@@ -59,6 +59,10 @@
         Loop time in seconds after which nobody waits for it.
     started : float
         Loop time in seconds when it took a slot.
+    order : int
+        Place in the order of arrival.
+    abandoned, completed : bool
+        Whether nobody waits any more, and whether the work was done.
     """
 
     service: str
@@ -68,6 +72,7 @@
     started: float = 0.0
     order: int = 0
     abandoned: bool = False
+    completed: bool = False
 
 
 class AdmissionQueue:
@@ -127,9 +132,13 @@
         """
         if self.limits.ordered:
             wait = self.predicted_wait_s(ticket)
-            finish = now + wait + self._expected_s(ticket)
-            if finish > ticket.deadline:
-                return max(wait, self.short_s)
+            # Work that need not wait is always tried: its own duration
+            # is only a guess, and only trying corrects the guess.
+            if (
+                wait
+                and now + wait + self._expected_s(ticket) > ticket.deadline
+            ):
+                return wait
         ticket.order = next(self._orders)
         self._waiting.append(ticket)
         return 0.0
@@ -156,13 +165,16 @@
         return expired
 
     def finish(self, ticket, now):
-        """Free a ticket's slot and learn how long it took."""
+        """Free a ticket's slot and learn how long it took.
+
+        Work that failed says nothing of how long work takes.
+        """
         self.running.discard(ticket)
         spent = now - ticket.started
         self._usage[ticket.service] += spent
         if not self._waiting:
             self._usage.clear()
-        weight = SERVICE_TIME_WEIGHT
+        weight = SERVICE_TIME_WEIGHT if ticket.completed else 0.0
         if ticket.long:
             self.long_s += weight * (spent - self.long_s)
         else:
--- a/balsamhinge/policy/freshness.py
+++ b/balsamhinge/policy/freshness.py
@@ -22,6 +22,22 @@
     def __init__(self):
         self._times = collections.deque(maxlen=HISTORY_LENGTH)
         self._positions = collections.deque(maxlen=HISTORY_LENGTH)
+        self._led_until = float("-inf")
+        self.held = positions.ORIGIN
+
+    def record_led(self, until, held):
+        """Record that the primary led until then, and what is confirmed.
+
+        Parameters
+        ----------
+        until : float
+            Loop time in seconds; probes asked later prove nothing yet,
+            because another target may lead since.
+        held : LogPosition
+            What a majority of the voters holds.
+        """
+        self._led_until = max(self._led_until, until)
+        self.held = max(self.held, held)
 
     def record(self, asked, position):
         """Record what the primary held when it was asked at `asked`."""
@@ -48,6 +64,8 @@
         index = bisect.bisect_left(self._times, now - max_age_s)
         if index == len(self._times):
             return None
+        if self._times[index] > self._led_until:
+            return None
         return self._positions[index]
 
     def age_s(self, now, applied):
@@ -55,6 +73,7 @@
         for asked, position in zip(
             reversed(self._times), reversed(self._positions), strict=True
         ):
-            if positions.covers(applied, position):
+            proven = asked <= self._led_until
+            if proven and positions.covers(applied, position):
                 return now - asked
         return None
--- a/balsamhinge/standins/replication.py
+++ b/balsamhinge/standins/replication.py
@@ -9,6 +9,7 @@
 BATCH_ENTRIES = 1000
 POLL_S = 1.0
 RETRY_S = 0.05
+FOREVER_S = 1e6
 
 
 class Replicator:
@@ -42,17 +43,45 @@
     async def _pull(self):
         database = self._database
         while True:
-            if database.role != "replica" or not database.primary:
+            if database.role != "replica":
                 await database.wait_for(
-                    lambda: database.role == "replica" and database.primary,
-                    POLL_S,
+                    lambda: database.role == "replica", POLL_S
                 )
                 continue
             try:
-                await self._pull_once()
+                await self._pull_while_following()
             except (exceptions.BalsamhingeError, OSError):
                 await asyncio.sleep(RETRY_S)
 
+    async def _pull_while_following(self):
+        """Pull until another primary is to be followed.
+
+        A connection to an unreachable primary can hang for long; the
+        order to follow another one ends it.
+        """
+        database = self._database
+        followed = database.term, database.primary
+        pulling = asyncio.ensure_future(self._pull_forever())
+        moved = asyncio.ensure_future(
+            database.wait_for(
+                lambda: (database.term, database.primary) != followed,
+                FOREVER_S,
+            )
+        )
+        try:
+            await asyncio.wait(
+                {pulling, moved}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if pulling.done():
+                pulling.result()
+        finally:
+            pulling.cancel()
+            moved.cancel()
+
+    async def _pull_forever(self):
+        while True:
+            await self._pull_once()
+
     async def _pull_once(self):
         database = self._database
         term = database.term
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -76,7 +76,6 @@
             f"{primary} killed, next result acknowledged after {spent:.2f} s",
         )
         await self._read("read back", [["r1", 3], ["r2", 1]])
-        self._cluster.spawn_target(GROUP, primary)
 
     async def _drain(self):
         group = "ladder-2"
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -24,6 +24,7 @@
         self.frozen = set()
         self.dead = set()
         self.lost_answers = {}
+        self.connections = []
         self.changed = asyncio.Event()
 
     def _change(self):
@@ -41,6 +42,11 @@
         self.frozen.clear()
         self._change()
 
+    def thaw(self, name):
+        """Let what waits for `name` go on."""
+        self.frozen.discard(name)
+        self._change()
+
     def freeze(self, name):
         """Let everything sent to or from `name` wait."""
         self.frozen.add(name)
@@ -48,6 +54,9 @@
     def kill(self, name):
         """Make `name` refuse every connection from now on."""
         self.dead.add(name)
+        for src, dst, break_connection in self.connections:
+            if name in (src, dst):
+                break_connection()
         self._change()
 
     def lose_answer(self, src, dst):
@@ -98,6 +107,7 @@
         self._target = target
         self._session = database.DatabaseSession(target)
         self._broken = False
+        network.connections.append((me, target.name, self._break))
 
     @property
     def idle(self):
@@ -147,18 +157,20 @@
         return results
 
     def _break(self):
-        self._broken = True
-        if not self._network.blocked(self._me, self._target.name):
+        if not self._broken:
+            self._broken = True
             asyncio.ensure_future(self._end())
 
     async def _end(self):
+        # The target learns of the end once the network lets it.
         await asyncio.sleep(self._network.delay_s)
+        while self._network.blocked(self._me, self._target.name):
+            await self._network.changed.wait()
         self._session.close()
 
     async def close(self):
         """See `TargetConnection.close`."""
-        if not self._broken:
-            self._break()
+        self._break()
 
 
 class TargetFake(links.TargetLink):
--- /dev/null
+++ b/tests/support/guards.py
@@ -0,0 +1,89 @@
+"""Switches single guards off, to show that a check can fail."""
+
+import contextlib
+from unittest import mock
+
+from balsamhinge.controllers import confirmations
+from balsamhinge.controllers import pools
+from balsamhinge.filters import home
+from balsamhinge.policy import positions
+from balsamhinge.standins import database
+from balsamhinge.targets import connection
+
+__all__ = ["without"]
+
+
+async def confirm_nothing(*_args, **_fields):
+    """Stand in for a confirmation that always succeeds."""
+
+
+async def keep_connection(self, conn):
+    """Stand in for a pool that takes back any connection."""
+    async with self._freed:
+        self._idle.append(conn)
+        self._freed.notify()
+
+
+async def write_unrecorded(self, guard, statements, *_args):
+    """Stand in for a write that does not record its identifier."""
+    commands = [
+        connection.BEGIN,
+        guard.statement(),
+        *statements,
+        connection.COMMIT,
+        connection.COMMITTED,
+    ]
+    self.commit_sent = True
+    results = await self.pipeline(commands)
+    position = connection.parse_position(results[-1])
+    return connection.RunResult(results[2:-2], position, guard.term)
+
+
+async def pass_on(self, req, proceed):
+    """Stand in for a filter that looks at nothing."""
+    return await proceed(req)
+
+
+def covers_anything(_held, _needed):
+    """Stand in for a check that always holds."""
+    return True
+
+
+def accept_term(_self, _term):
+    """Stand in for a target that takes work of any term."""
+
+
+PATCHES = {
+    "confirmation": lambda: [
+        mock.patch.object(
+            confirmations.ConfirmationsController, "confirm", confirm_nothing
+        )
+    ],
+    "position check": lambda: [
+        mock.patch.object(positions, "covers", covers_anything)
+    ],
+    "connection state check": lambda: [
+        mock.patch.object(pools.ConnectionPool, "release", keep_connection),
+        mock.patch.object(pools.ConnectionPool, "discard", keep_connection),
+    ],
+    "request record": lambda: [
+        mock.patch.object(
+            connection.TargetConnection, "write", write_unrecorded
+        )
+    ],
+    "term check": lambda: [
+        mock.patch.object(database.Database, "require_term", accept_term)
+    ],
+    "leaving check": lambda: [
+        mock.patch.object(home.HomeChain, "bound_age", pass_on)
+    ],
+}
+
+
+@contextlib.contextmanager
+def without(name):
+    """Switch one guard off inside a `with` block."""
+    with contextlib.ExitStack() as stack:
+        for patch in PATCHES[name]():
+            stack.enter_context(patch)
+        yield
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -66,6 +66,7 @@
             for n in range(1, instances + 1)
         ]
         self.states = {}
+        self.calls = {}
         self.extra_text = ""
         self.edits = itertools.count(1)
 
@@ -156,10 +157,27 @@
         await self.cores[name].start()
 
     async def kill_instance(self, name):
-        """End an instance without warning."""
+        """End an instance without warning, with all that it does."""
         self.network.kill(name)
+        for call in list(self.calls.get(name, ())):
+            call.cancel()
         await self.cores.pop(name).halt()
 
+    async def stop_instance(self, name, patience_s=10.0):
+        """Stop an instance gracefully; it then refuses connections."""
+        await self.cores[name].stop(patience_s)
+        self.network.kill(name)
+        self.cores.pop(name)
+
+    async def restart_instance(self, name):
+        """Start a dead instance again with nothing."""
+        member = next(m for m in self.members if m.name == name)
+        await self.start_instance(member)
+
+    def revive_target(self, name):
+        """Start a dead target again with its disk."""
+        self.network.dead.discard(name)
+
     def kill_target(self, name):
         """End a target without warning."""
         self.network.kill(name)
@@ -193,7 +211,30 @@
         statements = [messages.Statement(sql, list(params))] if sql else []
         service = fields.pop("service", "ladder")
         req = entry.Request(service, work_class, statements, **fields)
-        return await self.cores[instance].entry(req)
+        return await self.call(instance, req)
+
+    async def call(self, instance, req):
+        """Send a request to an instance.
+
+        Raises
+        ------
+        ConnectionRefusedError
+            If the instance is dead; nothing was sent.
+        ConnectionResetError
+            If it dies before it answers.
+        """
+        if instance not in self.cores or instance in self.network.dead:
+            raise ConnectionRefusedError(instance)
+        call = asyncio.ensure_future(self.cores[instance].entry(req))
+        self.calls.setdefault(instance, set()).add(call)
+        try:
+            return await call
+        except asyncio.CancelledError as exc:
+            if instance in self.cores:
+                raise
+            raise ConnectionResetError(instance) from exc
+        finally:
+            self.calls[instance].discard(call)
 
     async def run_write(self, instance, sql, *params, **fields):
         """Run one write through an instance; return its `Answer`."""
@@ -209,6 +250,7 @@
             replicator.stop()
         for held in self.databases.values():
             held.close()
+        self.network.connections.clear()
 
 
 CREATE = "CREATE TABLE results (id TEXT, player TEXT, points INTEGER)"
