--- a/balsamhinge/controllers/members.py
+++ b/balsamhinge/controllers/members.py
@@ -5,6 +5,7 @@
 import attrs
 
 from balsamhinge.controllers import events
+from balsamhinge import links
 from balsamhinge.policy import homes
 
 __all__ = ["MembersController"]
@@ -29,6 +30,7 @@
         self.me = me
         self.version = 0
         self.change = events.Change()
+        self.leaving_targets = set()
         self._local_homes = local_homes
         self._listed = {}
         self._names = []
@@ -42,7 +44,11 @@
         """Return the instances that told of their stop."""
         return sorted(self._leaving)
 
-    def learn(self, version, members):
+    def platform_list(self):
+        """Return the platform's list as this instance holds it."""
+        return links.PlatformList(self.listed(), sorted(self.leaving_targets))
+
+    def learn(self, version, platform_list):
         """Take a list of the platform's, if it is newer.
 
         Returns
@@ -53,7 +59,11 @@
         if version <= self.version:
             return False
         self.version = version
-        self._accept(members)
+        self.leaving_targets = set(platform_list.leaving_targets)
+        self._accept(platform_list.instances)
+        self.learn_leaving(
+            member.name for member in platform_list.instances if member.leaving
+        )
         return True
 
     def _accept(self, members):
--- a/balsamhinge/controllers/promotions.py
+++ b/balsamhinge/controllers/promotions.py
@@ -107,7 +107,7 @@
         leader = await self._lead(
             group, statuses, voters, following, preferred
         )
-        if reason == "switchover" and plan.is_leaving(leader.primary):
+        if reason == "switchover" and self._core.is_leaving(leader.primary):
             # The leaving primary held more than a staying target. Now all
             # follow it and nobody writes under its term, so that another
             # can take over at once.
@@ -120,7 +120,7 @@
     def _next_voters(self, group, voters, reason):
         if reason != "voters":
             return voters
-        staying = self._core.configuration.plan.staying(group)
+        staying = self._core.staying(group)
         return majorities.next_voters(voters, staying)
 
     async def _lead(self, group, statuses, voters, following, preferred):
@@ -138,7 +138,7 @@
         avoided = {
             name
             for name in voters
-            if plan.is_leaving(name) or name not in following
+            if self._core.is_leaving(name) or name not in following
         }
         chosen = promotion.choose_candidate(fenced, voters, avoided, preferred)
         if chosen.name not in following:
--- a/balsamhinge/controllers/spreading.py
+++ b/balsamhinge/controllers/spreading.py
@@ -10,7 +10,6 @@
 from balsamhinge import exceptions
 from balsamhinge import links
 from balsamhinge.logs import event
-from balsamhinge.policy import homes
 from balsamhinge.policy import spread
 from balsamhinge.policy import views
 
@@ -74,7 +73,7 @@
         return links.Exchange(
             sender=self._members.me.name,
             version=self._configuration.version,
-            members_version=self._members.version,
+            list_version=self._members.version,
             retired=sorted(self._groups.retired),
             leaving=self._members.leaving,
             **fields,
@@ -86,8 +85,8 @@
 
     def publish_members(self, scope=""):
         """Push the list of instances to other instances."""
-        members = self._members.listed()
-        self._push(self.summary(members=members, scope=scope))
+        platform_list = self._members.platform_list()
+        self._push(self.summary(platform_list=platform_list, scope=scope))
 
     def publish_views(self, changed):
         """Push changed views to every instance."""
@@ -157,8 +156,8 @@
         fields = {}
         if message.version < self._configuration.version:
             fields["text"] = self._configuration.text
-        if message.members_version < self._members.version:
-            fields["members"] = self._members.listed()
+        if message.list_version < self._members.version:
+            fields["platform_list"] = self._members.platform_list()
         mine = self._groups.views()
         digests = views.bucket_digests(mine)
         differing = {
@@ -177,9 +176,9 @@
         changed = False
         if message.text is not None:
             changed |= self._configuration.learn(message.version, message.text)
-        if message.members:
+        if message.platform_list is not None:
             changed |= self._members.learn(
-                message.members_version, message.members
+                message.list_version, message.platform_list
             )
         for view in message.views:
             changed |= self._groups.learn(view)
@@ -205,7 +204,7 @@
         if answer is None or not answer.digests:
             return
         missing = self._difference(answer)
-        if missing.text or missing.members or missing.views:
+        if missing.text or missing.platform_list or missing.views:
             await self._send(name, attrs.evolve(missing, digests=[]))
 
     async def _relay(self, key, take):
@@ -234,8 +233,8 @@
             event(log.error, "stored_configuration_refused", error=exc)
 
     def _take_members(self, stored):
-        members = msgspec.json.decode(stored.value, type=list[homes.Member])
-        if self._members.learn(stored.version, members):
+        found = msgspec.json.decode(stored.value, type=links.PlatformList)
+        if self._members.learn(stored.version, found):
             self.publish_members(self._members.me.data_centre)
 
     async def catch_up(self, names):
--- a/balsamhinge/controllers/watching.py
+++ b/balsamhinge/controllers/watching.py
@@ -239,8 +239,7 @@
         return self._planned_wish(group, view)
 
     def _planned_wish(self, group, view):
-        plan = self._core.configuration.plan
-        staying = plan.staying(group)
+        staying = self._core.staying(group)
         if view.primary not in staying:
             return "switchover"
         if majorities.next_voters(view.voters, staying) != view.voters:
@@ -304,7 +303,7 @@
         plan = self._core.configuration.plan
         for name in names:
             status = self._core.groups.roles.get(name)
-            leaving = plan.is_leaving(name) and name not in view.voters
+            leaving = self._core.is_leaving(name) and name not in view.voters
             if not leaving or status is None or not view.voters:
                 continue
             if status.role == "retired" or self._is_silent(name):
--- a/balsamhinge/core.py
+++ b/balsamhinge/core.py
@@ -176,6 +176,16 @@
         await self.gates.close()
         await self.control.close()
 
+    def is_leaving(self, target):
+        """Return whether a target is to get no new work."""
+        listed = target in self.members.leaving_targets
+        return listed or self.configuration.plan.is_leaving(target)
+
+    def staying(self, group):
+        """Return the targets of a group that are to stay."""
+        names = self.configuration.plan.groups[group].targets
+        return [name for name in names if not self.is_leaving(name)]
+
     async def apply_text(self, text, base, author):
         """Accept an edit of the operators' text, and push it at once.
 
--- a/balsamhinge/embedded.py
+++ b/balsamhinge/embedded.py
@@ -94,29 +94,38 @@
             name: (HOST, first + number) for number, name in enumerate(TARGETS)
         }
         self._targets = []
+        self._platform = None
+        self._daemon = None
 
     async def run(self):
         """Serve until a signal comes."""
+        stop = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        await self.start()
+        print(EXAMPLE.format(host=HOST, port=self._port), flush=True)
+        await stop.wait()
+        await self.stop()
+
+    async def start(self):
+        """Start the stand-ins, then the instance."""
         await self._start_standins()
-        secret = secrets.token_hex(16)
         text = SETTINGS.format(
             host=HOST,
             port=self._port,
             peer_port=self._port + 1,
             platform_port=self._port + 2,
-            secret=secret,
+            secret=secrets.token_hex(16),
         )
         settings = settings_module.Settings.from_text(text)
         logs.set_up(settings.log_level)
-        running = daemon.Daemon(settings)
-        loop = asyncio.get_running_loop()
-        stop = asyncio.Event()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stop.set)
-        await running.start()
-        print(EXAMPLE.format(host=HOST, port=self._port), flush=True)
-        await stop.wait()
-        await running.stop()
+        self._daemon = daemon.Daemon(settings)
+        await self._daemon.start()
+
+    async def stop(self):
+        """Stop the instance, then the stand-ins."""
+        await self._daemon.stop()
         self._platform.stop()
         for server in self._targets:
             server.stop()
--- a/balsamhinge/filters/entry.py
+++ b/balsamhinge/filters/entry.py
@@ -25,9 +25,10 @@
 CHANGE_PAUSE_S = 0.05
 LEAST_ATTEMPT_S = 0.25
 # Part of the remaining time that one attempt may take.
-WRITE_SHARE = 0.5
-READ_SHARE = 0.25
+ONLY_SHARE = 0.5
+REPLICA_SHARE = 0.125
 FORWARD_MARGIN_S = 0.02
+HOMES_TRIED = 3
 
 log = logbook.Logger(__name__)
 Consistency = routing.Consistency
@@ -241,7 +242,7 @@
         names = [
             name
             for name in view.voters or plan.groups[req.group].targets
-            if not plan.is_leaving(name)
+            if not core.is_leaving(name)
         ]
         self._turn += 1
         return routing.order_targets(
@@ -258,7 +259,7 @@
         remaining = req.deadline - clock.now()
         share = remaining
         if not req.rules.long:
-            part = WRITE_SHARE if req.rules.write else READ_SHARE
+            part = ONLY_SHARE if candidate.confirm else REPLICA_SHARE
             share = max(remaining * part, LEAST_ATTEMPT_S)
         aged = req.consistency is Consistency.AGED and not req.rules.write
         return messages.Work(
@@ -286,8 +287,11 @@
         core = self._core
         target = core.configuration.plan.targets.get(work.target)
         members = core.members.homes(target) if target else []
-        for member in members:
+        for member in members[:HOMES_TRIED]:
             reply = await self._call(member, work)
+            # The next home gets half the time, for whatever silences one
+            # home may silence its neighbour.
+            work = attrs.evolve(work, remaining_s=work.remaining_s / 2)
             if reply.reason is Reason.DRAINING:
                 core.members.learn_leaving([member.name])
                 continue
@@ -335,10 +339,10 @@
             reply = await self._call(owner, self._work(req, candidate))
         if reply.outcome is messages.Outcome.DONE:
             return reply
+        if reply.reason is Reason.PEER_SILENT:
+            reply = attrs.evolve(reply, reason=Reason.TRANSACTION)
         if req.step is Step.COMMIT and req.rules.write:
             return await self._settle_commit(req, reply)
-        if reply.reason is Reason.PEER_SILENT:
-            return attrs.evolve(reply, reason=Reason.TRANSACTION)
         return reply
 
     async def _settle_commit(self, req, reply):
--- a/balsamhinge/filters/home.py
+++ b/balsamhinge/filters/home.py
@@ -163,7 +163,7 @@
                 messages.Reason.DRAINING, "the instance is stopping"
             )
         req.target = plan.targets.get(work.target)
-        if req.target is None or plan.is_leaving(work.target):
+        if req.target is None or core.is_leaving(work.target):
             return messages.Reply.not_run(
                 messages.Reason.NO_TARGET, f"{work.target} takes no new work"
             )
@@ -226,6 +226,7 @@
             return messages.Reply.unknown(
                 messages.Reason.NOT_CONFIRMED, str(exc), term=view.term
             )
+        core.groups.history(work.group).record_held(reply.position)
         return reply
 
     def _is_confirmed(self, work, reply):
--- a/balsamhinge/links.py
+++ b/balsamhinge/links.py
@@ -13,6 +13,7 @@
     "Exchange",
     "Links",
     "PeerLink",
+    "PlatformList",
     "Sight",
     "StoreLink",
     "Stored",
@@ -66,6 +67,22 @@
         return edit_id == self.edit_id or edit_id in self.earlier
 
 
+@attrs.frozen
+class PlatformList:
+    """What the platform says of machines; it lags.
+
+    Parameters
+    ----------
+    instances : list of Member
+        The system's own.
+    leaving_targets : list of str
+        Targets whose machines are about to go.
+    """
+
+    instances: list[homes.Member]
+    leaving_targets: list[str] = attrs.Factory(list)
+
+
 @attrs.frozen
 class Exchange:
     """What two instances tell each other.
@@ -78,9 +95,9 @@
         Version of the configuration that it holds.
     text : TextVersion or None
         That configuration, where the receiver may lack it.
-    members_version : int
-        Version of the platform's list of instances that it holds.
-    members : list of Member
+    list_version : int
+        Version of the platform's list that it holds.
+    platform_list : PlatformList or None
         That list, where the receiver may lack it.
     digests : list of int
         See `balsamhinge.policy.views.bucket_digests`; empty in a push.
@@ -99,8 +116,8 @@
     sender: str
     version: int = 0
     text: TextVersion | None = None
-    members_version: int = 0
-    members: list[homes.Member] = attrs.Factory(list)
+    list_version: int = 0
+    platform_list: PlatformList | None = None
     digests: list[int] = attrs.Factory(list)
     views: list[group_views.GroupView] = attrs.Factory(list)
     retired: list[str] = attrs.Factory(list)
--- a/balsamhinge/policy/freshness.py
+++ b/balsamhinge/policy/freshness.py
@@ -37,6 +37,10 @@
             What a majority of the voters holds.
         """
         self._led_until = max(self._led_until, until)
+        self.record_held(held)
+
+    def record_held(self, held):
+        """Record a position that a majority holds."""
         self.held = max(self.held, held)
 
     def record(self, asked, position):
--- a/balsamhinge/standins/database.py
+++ b/balsamhinge/standins/database.py
@@ -121,6 +121,7 @@
         self.executed = []
         self.sessions = set()
         self.peak_connections = 0
+        self.last_work = 0.0
         self.slots = asyncio.Semaphore(knobs.slots)
         self.write_lock = asyncio.Lock()
         self.progress = asyncio.Condition()
@@ -507,6 +508,7 @@
         if stated:
             seconds = float(stated[1]) / 1000
         async with self.database.slots:
+            self.database.last_work = asyncio.get_running_loop().time()
             await asyncio.sleep(seconds)
 
     def _refresh(self):
--- a/balsamhinge/standins/programs.py
+++ b/balsamhinge/standins/programs.py
@@ -46,7 +46,7 @@
     members = []
     for word in args.instance:
         members.append(homes.Member(*word.split("@")))
-    value = msgspec.json.encode(members)
+    value = msgspec.json.encode(links.PlatformList(members))
     held.objects[links.INSTANCES_KEY] = links.Stored(1, value)
     host, port = split_address(args.address)
     loop = asyncio.get_running_loop()
--- a/balsamhinge/standins/store.py
+++ b/balsamhinge/standins/store.py
@@ -48,6 +48,15 @@
         self.writes = 0
         self._changed = asyncio.Condition()
 
+    def replace(self, key, stored):
+        """Replace an object as the platform itself does."""
+        self.objects[key] = stored
+        asyncio.ensure_future(self._notify())
+
+    async def _notify(self):
+        async with self._changed:
+            self._changed.notify_all()
+
     async def _answer(self):
         await asyncio.sleep(self.knobs.latency_s)
         if self.knobs.down:
@@ -71,8 +80,7 @@
             )
         stored = links.Stored(version + 1, value)
         self.objects[key] = stored
-        async with self._changed:
-            self._changed.notify_all()
+        await self._notify()
         if self.knobs.lose_answers:
             self.knobs.lose_answers -= 1
             raise exceptions.StoreUnavailable("the answer was lost")
--- a/balsamhinge/standins/target.py
+++ b/balsamhinge/standins/target.py
@@ -1,6 +1,7 @@
 """Serves a stand-in target over the PostgreSQL protocol."""
 
 import asyncio
+import contextlib
 import itertools
 
 import pg_mimic
@@ -122,6 +123,14 @@
         self._connection.tx_status = status
 
 
+class _Server(pg_mimic.PgServer):
+    """Takes connections that break as the end of a session."""
+
+    async def _client_connected_cb(self, reader, writer):
+        with contextlib.suppress(ConnectionError):
+            await super()._client_connected_cb(reader, writer)
+
+
 def stored_value(value, oid):
     """Return a parameter in a type that SQLite stores."""
     if value is None:
@@ -161,7 +170,7 @@
     def __init__(self, held, places):
         self.database = held
         self._places = places
-        self._server = pg_mimic.PgServer(lambda: _Session(held))
+        self._server = _Server(lambda: _Session(held))
         self._replicator = replication.Replicator(held, self._read_log)
         self._conn = None
 
--- a/tests/features/environment.py
+++ b/tests/features/environment.py
@@ -1,10 +1,11 @@
 """Runs each scenario on a loop of its own, whose clock jumps."""
 
-import asyncio
 import contextlib
 
 import async_solipsism
 
+from tests.support import world
+
 
 def before_scenario(context, _scenario):
     """Give the scenario a loop."""
@@ -18,12 +19,6 @@
 def after_scenario(context, _scenario):
     """End everything that the scenario started."""
     context.guards.close()
-    pending = asyncio.all_tasks(context.loop)
-    for task in pending:
-        task.cancel()
-    context.loop.run_until_complete(
-        asyncio.gather(*pending, return_exceptions=True)
-    )
     if context.world is not None:
         context.world.close()
-    context.loop.close()
+    world.end_loop(context.loop)
--- a/tests/features/steps/system.py
+++ b/tests/features/steps/system.py
@@ -82,7 +82,7 @@
 @when("the primary is killed")
 def kill_primary(context):
     context.killed = primary_of(context)
-    context.world.kill_target(context.killed)
+    run(context, context.world.kill_target(context.killed))
 
 
 @when("the killed target returns")
@@ -215,7 +215,7 @@
 
     match kind:
         case "target":
-            world.kill_target(target)
+            await world.kill_target(target)
             return revive_target
         case "instance":
             if instance in world.cores and len(world.cores) > 1:
--- /dev/null
+++ b/tests/policy/test_admission.py
@@ -0,0 +1,75 @@
+"""Tests of the queue before a target."""
+
+import testtools
+
+from balsamhinge.policy import admission
+
+
+def ticket(service="s", urgent=False, long=False, deadline=10.0):
+    """Return a request before a target."""
+    return admission.Ticket(service, urgent, long, deadline)
+
+
+class AdmissionQueueTest(testtools.TestCase):
+    """Order, reserve and refusal."""
+
+    def setUp(self):
+        super().setUp()
+        self.queue = admission.AdmissionQueue(admission.Limits(slots=3))
+
+    def offer(self, *tickets):
+        return [self.queue.offer(one, 0.0) for one in tickets]
+
+    def start_all(self):
+        started = []
+        while (one := self.queue.start_next(0.0)) is not None:
+            started.append(one)
+        return started
+
+    def test_one_slot_stays_free_of_long_work(self):
+        long = [ticket(long=True) for _ in range(3)]
+        short = ticket()
+        self.offer(*long, short)
+        self.assertEqual({*long[:2], short}, set(self.start_all()))
+
+    def test_urgent_work_goes_before_aged_reads(self):
+        aged = [ticket(deadline=1.0) for _ in range(3)]
+        urgent = ticket(urgent=True, deadline=9.0)
+        self.offer(*aged, urgent)
+        self.assertIs(urgent, self.queue.start_next(0.0))
+
+    def test_earlier_deadline_goes_first(self):
+        late, early = ticket(deadline=9.0), ticket(deadline=2.0)
+        self.offer(late, early)
+        self.assertIs(early, self.queue.start_next(0.0))
+
+    def test_a_busy_service_yields_to_another(self):
+        first = ticket("busy")
+        self.offer(first, ticket("busy", deadline=2.0), ticket("calm"))
+        self.queue.start_next(0.0)
+        self.queue.finish(first, 1.0)
+        self.assertEqual("calm", self.queue.start_next(1.0).service)
+
+    def test_hopeless_work_is_refused_at_once(self):
+        self.queue.short_s = 1.0
+        self.offer(*(ticket(deadline=100.0) for _ in range(12)))
+        self.start_all()
+        retry_after = self.queue.offer(ticket(deadline=1.0), 0.0)
+        self.assertGreater(retry_after, 0.0)
+
+    def test_work_that_need_not_wait_is_tried_whatever_was_learnt(self):
+        self.queue.short_s = 60.0
+        self.assertEqual([0.0], self.offer(ticket(deadline=1.0)))
+
+    def test_failed_work_teaches_nothing(self):
+        one = ticket()
+        self.offer(one)
+        self.queue.start_next(0.0)
+        self.queue.finish(one, 9.0)
+        self.assertEqual(admission.INITIAL_SHORT_S, self.queue.short_s)
+
+    def test_expired_work_leaves_the_queue(self):
+        one = ticket(deadline=1.0)
+        self.offer(one)
+        self.assertEqual([one], self.queue.expire(2.0))
+        self.assertEqual(0, len(self.queue))
--- /dev/null
+++ b/tests/policy/test_rules.py
@@ -0,0 +1,173 @@
+"""Tests of the smaller decisions."""
+
+import testtools
+
+from balsamhinge import exceptions
+from balsamhinge.policy import freshness
+from balsamhinge.policy import homes
+from balsamhinge.policy import messages
+from balsamhinge.policy import outcomes
+from balsamhinge.policy import positions
+from balsamhinge.policy import retries
+from balsamhinge.policy import routing
+from balsamhinge.policy import spread
+from balsamhinge.policy import tokens
+from balsamhinge.policy import views
+
+Position = positions.LogPosition
+Reason = messages.Reason
+
+
+class TokensTest(testtools.TestCase):
+    """Tokens survive the way to a caller and back, unless changed."""
+
+    def test_round_trip(self):
+        token = tokens.SessionToken().advanced("g", Position(2, 7))
+        text = tokens.seal_token(token, b"key")
+        self.assertEqual(token.seen, tokens.open_token(text, b"key").seen)
+
+    def test_forged_tokens_are_refused(self):
+        text = tokens.seal_token(tokens.SessionToken(), b"key")
+        for forged in ("", "%%%", "é", text[:-1] + "x", text + "AAAA"):
+            self.assertRaises(
+                exceptions.InvalidToken, tokens.open_token, forged, b"key"
+            )
+        self.assertRaises(
+            exceptions.InvalidToken, tokens.open_token, text, b"other"
+        )
+
+    def test_a_token_never_goes_back(self):
+        token = tokens.SessionToken({"g": Position(2, 7)})
+        token = token.advanced("g", Position(2, 3))
+        self.assertEqual(Position(2, 7), token.position("g"))
+
+
+class HomesTest(testtools.TestCase):
+    """Homes stand in the target's data centre and rarely move."""
+
+    def setUp(self):
+        super().setUp()
+        self.members = [
+            homes.Member(f"{centre}{n}", "", centre)
+            for centre in "xyz"
+            for n in range(10)
+        ]
+
+    def test_own_data_centre_first(self):
+        order = homes.home_order(self.members, "t", "y")
+        self.assertEqual({"y"}, {m.data_centre for m in order[:10]})
+
+    def test_loss_of_a_member_moves_only_its_targets(self):
+        lost = self.members[13]
+        left = [m for m in self.members if m is not lost]
+        for number in range(100):
+            before = homes.home_order(self.members, f"t{number}", "y")[0]
+            after = homes.home_order(left, f"t{number}", "y")[0]
+            if before is not lost:
+                self.assertEqual(before, after)
+
+
+class FreshnessTest(testtools.TestCase):
+    """Ages count local times, and only while the primary surely led."""
+
+    def setUp(self):
+        super().setUp()
+        self.history = freshness.PrimaryHistory()
+        for asked in range(10):
+            self.history.record(float(asked), Position(1, 10 * asked))
+        self.history.record_led(7.0, Position(1, 70))
+
+    def test_the_oldest_sufficient_position_is_needed(self):
+        self.assertEqual(Position(1, 50), self.history.needed_for(9.0, 4.0))
+
+    def test_nothing_is_proven_after_the_primary_surely_led(self):
+        self.assertIsNone(self.history.needed_for(9.0, 1.0))
+
+    def test_age_of_a_replica(self):
+        self.assertEqual(4.0, self.history.age_s(9.0, Position(1, 55)))
+
+
+class OutcomesTest(testtools.TestCase):
+    """Doubt about a write is only removed by finding it."""
+
+    def test_doubt_outlives_a_later_refusal(self):
+        attempts = outcomes.Attempts(write=True)
+        lost = messages.Reply.unknown(Reason.ANSWER_LOST, "")
+        attempts.record(lost)
+        refused = messages.Reply.not_run(Reason.OVERLOADED, "")
+        attempts.record(refused)
+        step = outcomes.next_step(attempts, refused, False)
+        self.assertEqual(outcomes.Finish(lost), step)
+
+    def test_a_read_has_no_doubt(self):
+        attempts = outcomes.Attempts(write=False)
+        attempts.record(messages.Reply.unknown(Reason.ANSWER_LOST, ""))
+        refused = messages.Reply.not_run(Reason.NO_TARGET, "")
+        attempts.record(refused)
+        self.assertEqual(refused, attempts.conclusion())
+
+    def test_budget_ends_retries(self):
+        budget = retries.RetryBudget(tokens=1.0)
+        self.assertTrue(budget.take())
+        self.assertFalse(budget.take())
+        for _request in range(5):
+            budget.record_request()
+        self.assertTrue(budget.take())
+
+
+class RoutingTest(testtools.TestCase):
+    """Replicas that have caught up come first, the primary last."""
+
+    def order(self, consistency, applied):
+        found = [
+            routing.TargetView("a", "x", Position(1, 9)),
+            routing.TargetView("b", "y", Position(1, applied), lag_s=1.0),
+            routing.TargetView("c", "z", Position(1, 9)),
+        ]
+        candidates = routing.order_targets(
+            found, "a", consistency, Position(1, 9), "y", 0
+        )
+        return [one.target for one in candidates]
+
+    def test_session_read(self):
+        session = routing.Consistency.SESSION
+        self.assertEqual(["b", "c", "a"], self.order(session, 9))
+        self.assertEqual(["c", "a"], self.order(session, 8))
+
+    def test_latest_read_goes_to_the_primary(self):
+        latest = routing.Consistency.LATEST
+        self.assertEqual(["a"], self.order(latest, 9))
+
+
+class SpreadTest(testtools.TestCase):
+    """The branches of a tree cover each name once."""
+
+    def test_every_name_is_reached_once(self):
+        names = [f"n{number:04}" for number in range(5399)]
+        reached = []
+        pending = spread.branches(names)
+        levels = 0
+        while pending:
+            levels += 1
+            following = []
+            for branch in pending:
+                reached.append(branch.first)
+                if len(branch.names) > 1:
+                    following += spread.branches(
+                        names, branch.names[1], branch.last
+                    )
+            pending = following
+        self.assertEqual(names, sorted(reached))
+        self.assertLessEqual(levels, 5)
+
+
+class ViewsTest(testtools.TestCase):
+    """Digests differ where terms differ."""
+
+    def test_digest_of_a_changed_group(self):
+        held = [views.GroupView(f"g{n}", 1) for n in range(100)]
+        changed = [*held[1:], views.GroupView("g0", 2)]
+        before = views.bucket_digests(held)
+        after = views.bucket_digests(changed)
+        differing = [n for n in range(64) if before[n] != after[n]]
+        self.assertEqual([views.bucket_of("g0")], differing)
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -24,6 +24,7 @@
         self.frozen = set()
         self.dead = set()
         self.lost_answers = {}
+        self.passing_answers = {}
         self.connections = []
         self.changed = asyncio.Event()
 
@@ -64,6 +65,11 @@
         key = (src, dst)
         self.lost_answers[key] = self.lost_answers.get(key, 0) + 1
 
+    def lose_later_answer(self, src, dst, passing):
+        """Lose one answer after `passing` others."""
+        self.passing_answers[(src, dst)] = passing
+        self.lose_answer(src, dst)
+
     def blocked(self, src, dst):
         """Return whether nothing passes between two names now."""
         if src in self.frozen or dst in self.frozen:
@@ -92,7 +98,10 @@
 
     async def answer(self, src, dst):
         """Take an answer back from `dst` to `src`."""
-        if self.lost_answers.get((src, dst)):
+        passing = self.passing_answers.get((src, dst), 0)
+        if passing:
+            self.passing_answers[(src, dst)] = passing - 1
+        elif self.lost_answers.get((src, dst)):
             self.lost_answers[(src, dst)] -= 1
             raise ConnectionResetError(dst)
         await self.travel(dst, src)
--- a/tests/support/guards.py
+++ b/tests/support/guards.py
@@ -3,9 +3,11 @@
 import contextlib
 from unittest import mock
 
+from balsamhinge.configuration import parsing
+from balsamhinge.controllers import configuration
 from balsamhinge.controllers import confirmations
 from balsamhinge.controllers import pools
-from balsamhinge.filters import home
+from balsamhinge import core
 from balsamhinge.policy import positions
 from balsamhinge.standins import database
 from balsamhinge.targets import connection
@@ -39,9 +41,19 @@
     return connection.RunResult(results[2:-2], position, guard.term)
 
 
-async def pass_on(self, req, proceed):
-    """Stand in for a filter that looks at nothing."""
-    return await proceed(req)
+def leave_nothing(_self, _target):
+    """Stand in for a view in which no target leaves."""
+    return False
+
+
+def learn_anything(self, version, text):
+    """Stand in for an instance that takes any version."""
+    if text is None or version == self.version:
+        return False
+    self.version = version
+    self.text = text
+    self.plan = parsing.parse_plan(text.text)
+    return True
 
 
 def covers_anything(_held, _needed):
@@ -75,7 +87,12 @@
         mock.patch.object(database.Database, "require_term", accept_term)
     ],
     "leaving check": lambda: [
-        mock.patch.object(home.HomeChain, "bound_age", pass_on)
+        mock.patch.object(core.Core, "is_leaving", leave_nothing)
+    ],
+    "version check": lambda: [
+        mock.patch.object(
+            configuration.ConfigurationController, "learn", learn_anything
+        )
     ],
 }
 
--- a/tests/support/history.py
+++ b/tests/support/history.py
@@ -39,6 +39,7 @@
     def __init__(self):
         self.writes = []
         self.wrong = []
+        self.cut = 0
 
     def record_write(self, caller, result, outcome):
         """Record the outcome of a write."""
@@ -132,7 +133,10 @@
             )
             try:
                 answer = await self._world.call(instance, req)
-            except (ConnectionRefusedError, ConnectionResetError):
+            except ConnectionRefusedError:
+                continue
+            except ConnectionResetError:
+                self._checker.cut += 1
                 continue
             if answer.reply.outcome == "done":
                 self._token = answer.token
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -16,7 +16,7 @@
 from balsamhinge.standins import store
 from tests.support import fakes
 
-__all__ = ["CENTRES", "World", "run_virtual"]
+__all__ = ["CENTRES", "World", "end_loop", "run_virtual"]
 
 CENTRES = ("howrah", "salt-lake", "durgapur")
 DELAY_S = 0.001
@@ -29,13 +29,18 @@
     try:
         return loop.run_until_complete(coroutine)
     finally:
-        pending = asyncio.all_tasks(loop)
+        end_loop(loop)
+
+
+def end_loop(loop):
+    """Cancel everything that runs on a loop, and close it."""
+    while pending := asyncio.all_tasks(loop):
         for task in pending:
             task.cancel()
         loop.run_until_complete(
             asyncio.gather(*pending, return_exceptions=True)
         )
-        loop.close()
+    loop.close()
 
 
 class World:
@@ -74,8 +79,7 @@
         """Start everything and wait until each group has a primary."""
         for group in self.groups:
             self._start_group(group)
-        members = msgspec.json.encode(self.members)
-        self.store.objects[links.INSTANCES_KEY] = links.Stored(1, members)
+        self.put_list()
         self.put_text()
         await asyncio.gather(*(self.start_instance(m) for m in self.members))
         await self.until(self._all_led)
@@ -130,6 +134,14 @@
             f"data_centre = {self.network.place[name]}\nstate = {state}\n"
         )
 
+    def put_list(self, leaving_targets=()):
+        """Put the platform's list of machines into the store."""
+        held = self.store.objects.get(links.INSTANCES_KEY)
+        version = held.version + 1 if held else 1
+        found = links.PlatformList(self.members, list(leaving_targets))
+        stored = links.Stored(version, msgspec.json.encode(found))
+        self.store.replace(links.INSTANCES_KEY, stored)
+
     def put_text(self):
         """Put the text into the store without an instance's help."""
         held = self.store.objects.get(links.CONFIGURATION_KEY)
@@ -137,7 +149,7 @@
         edit = links.TextVersion(self.text(), f"edit-{version}", "test")
         value = msgspec.json.encode(edit)
         stored = links.Stored(version, value)
-        self.store.objects[links.CONFIGURATION_KEY] = stored
+        self.store.replace(links.CONFIGURATION_KEY, stored)
 
     async def start_instance(self, member):
         """Start one instance with nothing."""
@@ -178,7 +190,7 @@
         """Start a dead target again with its disk."""
         self.network.dead.discard(name)
 
-    def kill_target(self, name):
+    async def kill_target(self, name):
         """End a target without warning."""
         self.network.kill(name)
 
