--- a/balsamhinge/api/bodies.py
+++ b/balsamhinge/api/bodies.py
@@ -153,6 +153,8 @@
         body["detail"] = reply.detail
     if reply.sqlstate:
         body["sqlstate"] = reply.sqlstate
+    if reply.target:
+        body["served_by"] = reply.target
     if reply.transaction:
         body["transaction"] = reply.transaction
     return msgspec.json.encode(body)
--- a/balsamhinge/filters/home.py
+++ b/balsamhinge/filters/home.py
@@ -384,6 +384,7 @@
             position=done.position,
             target_applied=done.position,
             term=done.term,
+            target=work.target,
         )
 
     async def _write(self, req, conn):
@@ -404,7 +405,8 @@
         )
         if done is None:
             return await self._repeat(req, conn, fingerprint)
-        return written(done.results, done.position, work.view.term)
+        reply = written(done.results, done.position, work.view.term)
+        return attrs.evolve(reply, target=work.target)
 
     async def _repeat(self, req, conn, fingerprint):
         """Return the first answer of a request that was run before."""
--- a/balsamhinge/policy/messages.py
+++ b/balsamhinge/policy/messages.py
@@ -190,6 +190,8 @@
         Identifier of the transaction that the work left open.
     sqlstate : str
         Code of the database's own error, or "".
+    target : str
+        Where it was run, or "".
     """
 
     outcome: Outcome
@@ -203,6 +205,7 @@
     retry_after_s: float = 0.0
     transaction: str = ""
     sqlstate: str = ""
+    target: str = ""
 
     @classmethod
     def not_run(cls, reason, detail, **fields):
--- a/balsamhinge/standins/database.py
+++ b/balsamhinge/standins/database.py
@@ -545,6 +545,10 @@
         await self.database.wait(int(term), int(offset), float(timeout_s))
         return status_result(self.database.status())
 
+    async def _call_knob(self, name, value):
+        setattr(self.database.knobs, name, float(value))
+        return messages.CommandResult()
+
     async def _call_log(self, term, last_term, last_offset, most, wait_s):
         last = positions.LogPosition(int(last_term), int(last_offset))
         agreed, entries = await self.database.read_log(
--- a/tests/features/steps/promises.py
+++ b/tests/features/steps/promises.py
@@ -13,6 +13,7 @@
 from balsamhinge.policy import messages
 from tests.features.steps import requests
 from tests.features.steps import system
+from tests.support import failures
 
 IN_FORCE_S = 3.0
 NO_WORK_S = 2.0
@@ -366,7 +367,7 @@
 
 @when("the data centre {centre} is cut off")
 def cut_centre(context, centre):
-    system.cut_centre_off(context, centre)
+    failures.cut_centre_off(context.world, centre)
 
 
 @when("the text marks the replica in {centre} as leaving")
--- a/tests/features/steps/system.py
+++ b/tests/features/steps/system.py
@@ -7,6 +7,7 @@
 from behave import step
 from behave import when
 
+from tests.support import failures
 from tests.support import guards
 from tests.support import history
 from tests.support import world as world_module
@@ -108,19 +109,10 @@
 @when("the primary's data centre is cut off")
 def cut_centre(context):
     centre = place_of(context, primary_of(context))
-    cut_centre_off(context, centre)
+    failures.cut_centre_off(context.world, centre)
     context.cut_centre = centre
 
 
-def cut_centre_off(context, centre):
-    """Cut a data centre off from the others and from the platform."""
-    network = context.world.network
-    for other in (*world_module.CENTRES, "platform"):
-        if other != centre:
-            network.cut(centre, other)
-    network.place.setdefault("platform", "platform")
-
-
 @when("the network heals")
 def heal(context):
     context.world.network.heal()
@@ -177,54 +169,5 @@
 @when("failures strike at random for {seconds:g} seconds")
 def strike(context, seconds):
     rng = random.Random(f"failures/{context.world.seed}")
-    run(context, strike_at_random(context, rng, seconds))
+    run(context, failures.strike(context.world, rng, seconds))
     run(context, asyncio.sleep(SETTLE_S))
-
-
-async def strike_at_random(context, rng, seconds):
-    """Let two failures at a time happen, and mend them again."""
-    loop = asyncio.get_running_loop()
-    end = loop.time() + seconds
-    while loop.time() < end:
-        mends = [await one_failure(context, rng) for _ in range(2)]
-        await asyncio.sleep(rng.uniform(0.1, 1.5))
-        for mend in mends:
-            await mend()
-        context.world.network.heal()
-        context.world.store.knobs.down = False
-        await asyncio.sleep(rng.uniform(0.1, 1.5))
-
-
-async def one_failure(context, rng):
-    """Let one failure happen; return what mends it."""
-    world = context.world
-    network = world.network
-    kind = rng.choice(["target", "instance", "freeze", "cut", "store"])
-    target = rng.choice(sorted(world.databases))
-    instance = rng.choice([member.name for member in world.members])
-
-    async def nothing():
-        return
-
-    async def revive_target():
-        world.revive_target(target)
-
-    async def restart():
-        if instance not in world.cores:
-            await world.restart_instance(instance)
-
-    match kind:
-        case "target":
-            await world.kill_target(target)
-            return revive_target
-        case "instance":
-            if instance in world.cores and len(world.cores) > 1:
-                await world.kill_instance(instance)
-            return restart
-        case "freeze":
-            network.freeze(rng.choice([target, instance]))
-        case "cut":
-            cut_centre_off(context, rng.choice(world_module.CENTRES))
-        case "store":
-            world.store.knobs.down = True
-    return nothing
