--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -8,12 +8,14 @@
 from bench import failover
 from bench import replica_reads
 from bench import stragglers
+from bench import throughput
 
 MEASURES = {
     "replica_reads": replica_reads.measure,
     "failover": failover.measure,
     "crest": crest.measure,
     "stragglers": stragglers.measure,
+    "throughput": throughput.measure,
 }
 
 
--- a/bench/driving.py
+++ b/bench/driving.py
@@ -47,7 +47,9 @@
     )
 
 
-async def drive(cluster, service, seed, meanwhile=None, **fields):
+async def drive(
+    cluster, service, seed, meanwhile=None, processes=PROCESSES, **fields
+):
     """Run a load in several processes.
 
     Parameters
@@ -60,6 +62,8 @@
         Seed of arrivals.
     meanwhile : callable, optional
         Coroutine function of the start's wall time, run beside the load.
+    processes : int
+        How many load processes share the work.
     **fields
         Further fields of `Spec`; rates and sessions are for all
         processes together.
@@ -70,24 +74,24 @@
         In the order of arrival.
     """
     fields["phases"] = [
-        [seconds, rate / PROCESSES] for seconds, rate in fields["phases"]
+        [seconds, rate / processes] for seconds, rate in fields["phases"]
     ]
-    fields["sessions"] = fields["sessions"] // PROCESSES
+    fields["sessions"] = fields["sessions"] // processes
     paths = []
-    processes = []
+    started = []
     start = 0.0
-    for number in range(PROCESSES):
+    for number in range(processes):
         spec = make_spec(cluster, service, number, seed, **fields)
         start = start or spec.start
         spec = attrs.evolve(spec, start=start)
         path = pathlib.Path(cluster.folder / f"{service}-{number}.load")
         path.write_text(json.dumps(attrs.asdict(spec)))
         paths.append(path)
-        processes.append(
+        started.append(
             subprocess.Popen([sys.executable, "-m", "bench.load", str(path)])
         )
     beside = asyncio.ensure_future(meanwhile(start)) if meanwhile else None
-    for process in processes:
+    for process in started:
         await asyncio.to_thread(process.wait)
     if beside is not None:
         await beside
--- a/bench/load.py
+++ b/bench/load.py
@@ -70,6 +70,9 @@
         Seed of arrivals and choices.
     name : str
         Prefix of the sessions' names.
+    closed : bool
+        Whether each session waits for its answer before it asks again;
+        the rates are then not used.
     """
 
     urls: list[str]
@@ -82,6 +85,7 @@
     retries: int
     seed: int
     name: str
+    closed: bool = False
 
 
 @attrs.frozen
@@ -151,13 +155,27 @@
         """Send every request and wait for all answers."""
         running = []
         await asyncio.sleep(max(0.0, self._spec.start - time.time()))
+        started = asyncio.get_running_loop().time()
+        if self._spec.closed:
+            running = [self._loop(one, started) for one in self._sessions]
+        else:
+            async for at in self._paced(started):
+                running.append(asyncio.ensure_future(self._one(at, started)))
+        await asyncio.gather(*running)
+        await self._client.aclose()
+
+    async def _paced(self, started):
         loop = asyncio.get_running_loop()
-        started = loop.time()
         for at in self._arrivals():
             await asyncio.sleep(max(0.0, started + at - loop.time()))
-            running.append(asyncio.ensure_future(self._one(at, started)))
-        await asyncio.gather(*running)
-        await self._client.aclose()
+            yield at
+
+    async def _loop(self, session, started):
+        loop = asyncio.get_running_loop()
+        seconds = sum(phase[0] for phase in self._spec.phases)
+        kind = self._spec.kinds[0]
+        while (at := loop.time() - started) < seconds:
+            await self._request(kind, session, at, started)
 
     def _arrivals(self):
         at = 0.0
