--- a/balsamhinge/filters/chain.py
+++ b/balsamhinge/filters/chain.py
@@ -1,10 +1,12 @@
 """A chain of filters, each of which may end a request or pass it on."""
 
-__all__ = ["Chain"]
+import functools
 
+__all__ = ["build_chain"]
 
-class Chain:
-    """Filters around one another.
+
+def build_chain(filters):
+    """Return a coroutine function that passes a request through filters.
 
     Parameters
     ----------
@@ -12,17 +14,18 @@
         Coroutine functions of (request, proceed); `proceed` takes the
         request and runs the rest of the chain. The last filter ends the
         request itself.
-    """
-
-    def __init__(self, filters):
-        self._filters = filters
 
-    async def __call__(self, req):
-        """Pass a request through all filters and return the reply."""
-        return await self._run(0, req)
+    Returns
+    -------
+    callable
+        Coroutine function of the request.
 
-    async def _run(self, index, req):
-        async def proceed(passed):
-            return await self._run(index + 1, passed)
-
-        return await self._filters[index](req, proceed)
+    Notes
+    -----
+    Each wake-up of a request resumes every frame of its chain, so there
+    is just one frame for each filter.
+    """
+    handler = None
+    for one in reversed(filters):
+        handler = functools.partial(one, proceed=handler)
+    return handler
--- a/balsamhinge/filters/entry.py
+++ b/balsamhinge/filters/entry.py
@@ -109,7 +109,7 @@
         self._core = core
         self._budget = retries.RetryBudget()
         self._turn = 0
-        self._chain = chain.Chain(
+        self._chain = chain.build_chain(
             [
                 self.identify,
                 self.measure,
@@ -195,7 +195,7 @@
             req.session = req.session.advanced(req.group, reply.position)
         return reply
 
-    async def route(self, req, _proceed):
+    async def route(self, req, proceed=None):
         """Try targets until one has answered or the time is over."""
         self._budget.record_request()
         if req.step in (Step.STATEMENT, Step.COMMIT, Step.ROLLBACK):
@@ -365,7 +365,7 @@
         )
         marker = messages.Statement(home.NEVER_COMMITTED)
         settling.statements = [marker]
-        settled = await self.route(settling, None)
+        settled = await self.route(settling)
         if settled.outcome is messages.Outcome.DONE:
             return attrs.evolve(
                 settled,
--- a/balsamhinge/filters/home.py
+++ b/balsamhinge/filters/home.py
@@ -94,7 +94,7 @@
 
     def __init__(self, core):
         self._core = core
-        self._chain = chain.Chain(
+        self._chain = chain.build_chain(
             [
                 self.translate_errors,
                 self.find_target,
@@ -327,7 +327,7 @@
         finally:
             req.gate.leave(ticket)
 
-    async def execute(self, req, _proceed):
+    async def execute(self, req, proceed=None):
         """Run the work at the target."""
         match req.work.step:
             case Step.SINGLE:
@@ -369,6 +369,10 @@
     async def _within_deadline(self, req, conn, running):
         if req.work.write:
             running = self._unless_superseded(req, running)
+        else:
+            # In a task of its own, what wakes up for each packet is only
+            # the connection's part and not the whole chain.
+            running = asyncio.ensure_future(running)
         try:
             async with asyncio.timeout_at(req.deadline):
                 return await running
--- a/balsamhinge/logs.py
+++ b/balsamhinge/logs.py
@@ -13,11 +13,14 @@
     "level={record.level_name} {record.message}"
 )
 
+_least = 0
 _request_id = contextvars.ContextVar("request_id", default="")
 
 
 def set_up(level):
     """Send log lines of `level` and above to standard error."""
+    global _least
+    _least = LEVELS.index(level)
     handler = logbook.StreamHandler(
         sys.stderr, level=level.upper(), format_string=FORMAT
     )
@@ -31,7 +34,7 @@
 
 
 def event(write, name, **fields):
-    """Write one line.
+    """Write one line, unless its level is below the least one.
 
     Parameters
     ----------
@@ -42,6 +45,8 @@
     **fields
         Further pairs.
     """
+    if LEVELS.index(write.__name__) < _least:
+        return
     request_id = _request_id.get()
     if request_id:
         fields["request_id"] = request_id
