--- a/balsamhinge/daemon.py
+++ b/balsamhinge/daemon.py
@@ -49,6 +49,7 @@
                 settings.targets.user,
                 settings.targets.password,
                 settings.targets.database,
+                settings.targets.authority,
             ),
             wall_time=time.time,
         )
--- a/balsamhinge/embedded.py
+++ b/balsamhinge/embedded.py
@@ -54,6 +54,7 @@
 url = http://{host}:{platform_port}
 [targets]
 user = balsamhinge
+tls = off
 [sessions]
 key = {secret}
 [log]
--- a/balsamhinge/settings.py
+++ b/balsamhinge/settings.py
@@ -19,7 +19,7 @@
     "operators": ["token"],
     "peers": ["address", "secret", "tls", "certificate", "key", "authority"],
     "platform": ["url", "token"],
-    "targets": ["user", "password", "database"],
+    "targets": ["user", "password", "database", "tls", "authority"],
     "sessions": ["key"],
     "log": ["level"],
     "policy": ["baseline", "shares"],
@@ -42,11 +42,12 @@
 
 @attrs.frozen
 class TargetSettings:
-    """How targets are logged in to."""
+    """How targets are logged in to; no authority means no TLS."""
 
     user: str
     password: str = attrs.field(repr=False)
     database: str
+    authority: str = ""
 
 
 @attrs.frozen
@@ -244,10 +245,12 @@
 
 
 def _targets(reader):
+    (authority,) = _tls_files(reader, ["authority"])
     return TargetSettings(
         user=reader.text("user"),
         password=_value(reader, "password"),
         database=reader.text("database", "postgres"),
+        authority=authority,
     )
 
 
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -198,6 +198,7 @@
 url = http://{HOST}:{self.platform_port}
 [targets]
 user = balsamhinge
+tls = off
 [sessions]
 key = {SECRET}
 [policy]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -24,6 +24,7 @@
 url = http://127.0.0.1:9000
 [targets]
 user = balsamhinge
+tls = off
 password = hidden
 [sessions]
 key = a fourth sixteen letters
