--- a/balsamhinge/controllers/gates.py
+++ b/balsamhinge/controllers/gates.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from balsamhinge.configuration import checks
 from balsamhinge.controllers import clock
 from balsamhinge.controllers import pools
 from balsamhinge import exceptions
@@ -111,7 +112,8 @@
         size = pools.pool_size(target)
         slots = target.slots
         if self._shares:
-            size = max(1, target.connections // self._shares)
+            left = target.connections - checks.CONTROL_CONNECTIONS
+            size = max(1, left // self._shares)
             slots = size
         limits = admission.Limits(slots, ordered=self._ordered)
         gate = Gate(target, self._link, limits, size)
--- a/bench/load.py
+++ b/bench/load.py
@@ -1,6 +1,7 @@
 """An open-loop load process: arrivals come whether or not answers do."""
 
 import asyncio
+import base64
 import json
 import pathlib
 import random
@@ -11,6 +12,8 @@
 import httpx
 import msgspec
 
+from balsamhinge.policy import tokens
+
 __all__ = ["Kind", "Record", "Spec", "main"]
 
 CALL_MARGIN_S = 5.0
@@ -106,7 +109,7 @@
     tries : int
         Requests that were sent.
     position : int
-        Offset that the session had seen before.
+        Offset that the request's session token asked for, 0 for none.
     """
 
     at: float
@@ -210,6 +213,7 @@
     async def _request(self, kind, session, at, started):
         loop = asyncio.get_running_loop()
         expected = session.acknowledged
+        position = offset_of(session.token) if kind.session else 0
         body = self._body(kind, session)
         deadline = started + at + kind.deadline_s
         answer = {"outcome": "unknown", "reason": "http"}
@@ -236,7 +240,7 @@
                 self._is_stale(kind, answer, expected),
                 bool(kind.long_ms),
                 tries,
-                0,
+                position,
             )
         )
 
@@ -283,6 +287,15 @@
         return seen < expected
 
 
+def offset_of(token):
+    """Return the highest offset in a session token, 0 for none."""
+    if not token:
+        return 0
+    signed = base64.urlsafe_b64decode(token + "=" * (-len(token) % 4))
+    seen = msgspec.msgpack.decode(signed[tokens.SIGNATURE_BYTES :])
+    return max((place["offset"] for place in seen.values()), default=0)
+
+
 def main(path):
     """Run the load that a file describes; write the records beside it."""
     source = pathlib.Path(path)
