Stand-in writes lock at the write, not at the beginning; store waited 0.1 s

Cause: the stand-in held SQLite's single writer for a statement's whole duration, so that a primary did 20 writes a second with 40 ms statements whatever the proxy's order was. A transaction now locks when it first writes, after the time that its statement takes, and identifiers are reserved in between. A trial of this dropped the record of a commit; the scenario of the lost commit answer showed it. Requests with under 1 ms left are no longer tried: on the virtual clock, which does not advance by less, they were tried for ever.

--- a/balsamhinge/controllers/promotions.py
+++ b/balsamhinge/controllers/promotions.py
@@ -16,7 +16,9 @@
 __all__ = ["GroupRecord", "PromotionsController", "group_key"]
 
 CALL_S = 0.4
-STORE_S = 0.25
+# Less than the stagger, so that a silent store does not make the next
+# proposer start as well.
+STORE_S = 0.1
 GRACE_S = 0.03
 RECORD_RETRY_S = 1.0
 RECORD_ATTEMPTS = 300
--- a/balsamhinge/filters/entry.py
+++ b/balsamhinge/filters/entry.py
@@ -24,6 +24,8 @@
 
 CHANGE_PAUSE_S = 0.05
 LEAST_ATTEMPT_S = 0.25
+# With less left no attempt can come back in time.
+LEAST_LEFT_S = 0.001
 # Part of the remaining time that one attempt may take.
 ONLY_SHARE = 0.5
 REPLICA_SHARE = 0.125
@@ -202,7 +204,7 @@
             return await self._continue_transaction(req)
         write = req.rules.write or req.step is Step.BEGIN
         attempts = outcomes.Attempts(write and req.rules.write)
-        while clock.now() < req.deadline:
+        while req.deadline - clock.now() > LEAST_LEFT_S:
             candidates = self._candidates(req, write)
             finished = await self._try_all(req, attempts, candidates)
             if finished is not None:
@@ -213,7 +215,7 @@
 
     async def _try_all(self, req, attempts, candidates):
         for index, candidate in enumerate(candidates):
-            if clock.now() >= req.deadline:
+            if req.deadline - clock.now() <= LEAST_LEFT_S:
                 return None
             work = self._work(req, candidate)
             req.attempts += 1
--- a/balsamhinge/standins/database.py
+++ b/balsamhinge/standins/database.py
@@ -46,6 +46,8 @@
     "voters",
     "voters_term",
 ]
+INSERT_REQUEST = f"INSERT INTO {protocol.REQUESTS_TABLE}"
+SELECT_REQUEST = f"SELECT id FROM {protocol.REQUESTS_TABLE} WHERE id = $1"
 CREATE_REQUESTS = (
     f"CREATE TABLE IF NOT EXISTS {protocol.REQUESTS_TABLE} "
     "(id TEXT PRIMARY KEY, answer BLOB, created REAL)"
@@ -124,6 +126,7 @@
         self.last_work = 0.0
         self.slots = asyncio.Semaphore(knobs.slots)
         self.write_lock = asyncio.Lock()
+        self.reserved = {}
         self.progress = asyncio.Condition()
         self._directory = tempfile.TemporaryDirectory(prefix="bh-target-")
         self._generation = 0
@@ -368,6 +371,9 @@
         self.in_transaction = False
         self.failed = False
         self._pending = []
+        self._deferred = []
+        self._reserved = []
+        self._locked = False
         self._read_only = False
         self._committed = positions.ORIGIN
         self.idle_limit_s = 0.0
@@ -443,16 +449,44 @@
 
     async def _begin(self, sql):
         self._read_only = "READ ONLY" in sql.upper()
-        if not self._read_only:
-            await self.database.write_lock.acquire()
         self.in_transaction = True
         self._refresh()
-        # A SQLite reader that stays open keeps writers from committing, so
-        # a read-only transaction reads each statement's latest state.
-        if not self._read_only:
-            self._conn.execute("BEGIN IMMEDIATE")
         return messages.CommandResult()
 
+    async def _lock(self):
+        """Begin to write in SQLite, which has a single writer.
+
+        Readers see each statement's latest state, so that no reader keeps
+        a writer from committing.
+        """
+        if not self._locked:
+            await self.database.write_lock.acquire()
+            self._locked = True
+            self._refresh()
+            self._conn.execute("BEGIN IMMEDIATE")
+        for statement in self._deferred:
+            run_sqlite(self._conn, statement.sql, statement.params)
+            self._pending.append(statement)
+        self._deferred = []
+
+    async def _reserve(self, statement):
+        """Record a request identifier, at the latest with the commit.
+
+        Another transaction with the same identifier is waited for, as
+        PostgreSQL does with a unique key.
+        """
+        request_id = statement.params[0]
+        reserved = self.database.reserved
+        while request_id in reserved:
+            await reserved[request_id].wait()
+        found = run_sqlite(self._conn, SELECT_REQUEST, [request_id])
+        if found.rows:
+            raise refusal(protocol.DUPLICATE_REQUEST, "duplicate request")
+        reserved[request_id] = asyncio.Event()
+        self._reserved.append(request_id)
+        self._deferred.append(statement)
+        return messages.CommandResult(row_count=1)
+
     async def _commit(self):
         if self.failed:
             self._rollback()
@@ -465,6 +499,7 @@
     async def _commit_writes(self):
         # The term is looked at again: a fence since the guard refuses the
         # commit, and a majority of such refusals protects the new term.
+        await self._lock()
         try:
             self._require_primary(self._term)
         except exceptions.CommandFailed:
@@ -484,8 +519,13 @@
             self._end()
 
     def _end(self):
-        if not self._read_only:
+        if self._locked:
             self.database.write_lock.release()
+        self._locked = False
+        for request_id in self._reserved:
+            self.database.reserved.pop(request_id).set()
+        self._reserved = []
+        self._deferred = []
         self.in_transaction = False
         self.failed = False
         self._pending = []
@@ -493,13 +533,20 @@
         self.idle_limit_s = 0.0
 
     async def _statement(self, verb, sql, params):
-        if verb in WRITES and (self._read_only or not self.in_transaction):
+        if verb not in WRITES:
+            await self._work(sql)
+            self._refresh()
+            return run_sqlite(self._conn, sql, params)
+        if self._read_only or not self.in_transaction:
             raise refusal(READ_ONLY, "cannot write in a read-only transaction")
-        await self._work(sql)
-        self._refresh()
+        statement = messages.Statement(sql, list(params))
+        if sql.startswith(INSERT_REQUEST):
+            return await self._reserve(statement)
+        if protocol.REQUESTS_TABLE not in sql:
+            await self._work(sql)
+        await self._lock()
         result = run_sqlite(self._conn, sql, params)
-        if verb in WRITES:
-            self._pending.append(messages.Statement(sql, list(params)))
+        self._pending.append(statement)
         return result
 
     async def _work(self, sql):
--- a/tests/features/steps/promises.py
+++ b/tests/features/steps/promises.py
@@ -329,9 +329,7 @@
 def lose_target_answer(context):
     owner = context.transaction.rpartition(".")[0]
     target = context.world.primary().name
-    # The commit is two round trips; the second one loses its answer.
-    network = context.world.network
-    network.lose_later_answer(owner, target, 1)
+    context.world.network.lose_commit_answer(owner, target)
 
 
 @when("the transaction fails at {instance}")
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -24,7 +24,7 @@
         self.frozen = set()
         self.dead = set()
         self.lost_answers = {}
-        self.passing_answers = {}
+        self.lost_commits = set()
         self.connections = []
         self.changed = asyncio.Event()
 
@@ -65,10 +65,9 @@
         key = (src, dst)
         self.lost_answers[key] = self.lost_answers.get(key, 0) + 1
 
-    def lose_later_answer(self, src, dst, passing):
-        """Lose one answer after `passing` others."""
-        self.passing_answers[(src, dst)] = passing
-        self.lose_answer(src, dst)
+    def lose_commit_answer(self, src, dst):
+        """Lose the answer to the next commit from `src` at `dst`."""
+        self.lost_commits.add((src, dst))
 
     def blocked(self, src, dst):
         """Return whether nothing passes between two names now."""
@@ -98,10 +97,7 @@
 
     async def answer(self, src, dst):
         """Take an answer back from `dst` to `src`."""
-        passing = self.passing_answers.get((src, dst), 0)
-        if passing:
-            self.passing_answers[(src, dst)] = passing - 1
-        elif self.lost_answers.get((src, dst)):
+        if self.lost_answers.get((src, dst)):
             self.lost_answers[(src, dst)] -= 1
             raise ConnectionResetError(dst)
         await self.travel(dst, src)
@@ -132,6 +128,7 @@
         try:
             await self._network.travel(self._me, self._target.name)
             results = await self._run(statements)
+            self._lose_commit(statements)
             await self._network.answer(self._me, self._target.name)
         except OSError as exc:
             self._break()
@@ -144,6 +141,13 @@
             raise failure
         return results
 
+    def _lose_commit(self, statements):
+        link = self._me, self._target.name
+        lost = self._network.lost_commits
+        if link in lost and connection.COMMIT in statements:
+            lost.discard(link)
+            raise ConnectionResetError(self._target.name)
+
     async def _run(self, statements):
         # What has arrived is run to its end, even if the sender is gone.
         self._running = asyncio.ensure_future(self._run_all(statements))
