--- a/balsamhinge/controllers/groups.py
+++ b/balsamhinge/controllers/groups.py
@@ -27,12 +27,17 @@
         self._targets = {}
         self._histories = {}
         self._successors = {}
+        # Kept up with each change, for working them out anew takes
+        # milliseconds with thousands of groups.
+        self.digests = views.bucket_digests([])
         self._asked = {}
 
     def learn(self, view):
         """Take a view if it is newer; return whether it was."""
         if not view.term or not views.newer(view, self._views.get(view.group)):
             return False
+        views.toggle(self.digests, self._views.get(view.group))
+        views.toggle(self.digests, view)
         self._views[view.group] = view
         successor = self._successors.pop(view.group, None)
         if successor is not None:
@@ -62,8 +67,8 @@
 
     def forget_unlisted(self, plan):
         """Drop what is known of groups that the plan does not have."""
-        for group in set(self._views) - set(plan.groups):
-            del self._views[group]
+        for group in sorted(set(self._views) - set(plan.groups)):
+            views.toggle(self.digests, self._views.pop(group))
 
     def history(self, group):
         """Return the positions of a group's primary by time."""
--- a/balsamhinge/controllers/members.py
+++ b/balsamhinge/controllers/members.py
@@ -1,6 +1,7 @@
 """Which instances there are, and which of them answer."""
 
 import bisect
+import itertools
 
 import attrs
 
@@ -36,7 +37,7 @@
         self._names = []
         self._silent = set()
         self._leaving = set()
-        self._home_names = {}
+        self._orders = homes.HomeOrders()
         self._accept([me, *seeds])
 
     @property
@@ -72,7 +73,7 @@
         self._names = sorted(self._listed)
         self._silent &= set(self._listed)
         self._leaving &= set(self._listed)
-        self._home_names.clear()
+        self._orders.replace_members(self._listed)
         self.change.announce()
 
     def learn_leaving(self, names):
@@ -127,20 +128,24 @@
         Returns
         -------
         list of Member
-            Only members that answer and stay.
+            Only members that answer and stay. Those of the target's own
+            data centre come first, and others only if none of them is
+            left: whoever is cut off from that data centre can not reach
+            the target either.
         """
         if self._local_homes:
             return [self.me]
-        names = self._home_names.get(target.name)
-        if names is None:
-            ordered = homes.home_order(
-                self._listed.values(), target.name, target.data_centre
-            )
-            names = [member.name for member in ordered]
-            self._home_names[target.name] = names
-        usable = [n for n in names if self._usable(n)][:HOMES_KEPT]
+        names = self._orders.near(target.name, target.data_centre)
+        usable = self._first_usable(names)
+        if not usable:
+            names = self._orders.far(target.name, target.data_centre)
+            usable = self._first_usable(names)
         return [self._listed[name] for name in usable]
 
+    def _first_usable(self, names):
+        usable = (name for name in names if self._usable(name))
+        return list(itertools.islice(usable, HOMES_KEPT))
+
     def is_home(self, target):
         """Return whether this instance comes first for a target."""
         ordered = self.homes(target)
--- a/balsamhinge/controllers/spreading.py
+++ b/balsamhinge/controllers/spreading.py
@@ -159,7 +159,7 @@
         if message.list_version < self._members.version:
             fields["platform_list"] = self._members.platform_list()
         mine = self._groups.views()
-        digests = views.bucket_digests(mine)
+        digests = list(self._groups.digests)
         differing = {
             bucket
             for bucket, digest in enumerate(message.digests)
@@ -199,7 +199,7 @@
 
     async def compare(self, name):
         """Exchange digests with one instance, both ways."""
-        digests = views.bucket_digests(self._groups.views())
+        digests = list(self._groups.digests)
         answer = await self._send(name, self.summary(digests=digests))
         if answer is None or not answer.digests:
             return
--- a/balsamhinge/controllers/watching.py
+++ b/balsamhinge/controllers/watching.py
@@ -14,13 +14,14 @@
 
 __all__ = ["WatchingController"]
 
-PROBE_INTERVAL_S = 0.1
+LEAST_INTERVAL_S = 0.1
 PROBE_TIMEOUT_S = 0.25
-SUSPECT_S = 0.4
-HEARD_S = 0.6
+# Intervals after which a silent target is suspected, and an answer is old.
+SUSPECT_INTERVALS = 4
+HEARD_INTERVALS = 6
 PLANNED_STEP_S = 1.0
 SIGHT_TIMEOUT_S = 0.2
-RECONCILE_S = 1.0
+RECONCILE_S = 60.0
 PURPOSE = "probe"
 
 log = logbook.Logger(__name__)
@@ -55,6 +56,27 @@
                 task.cancel()
         self._tasks.clear()
 
+    @property
+    def interval_s(self):
+        """Return the seconds between two probes of a target.
+
+        Many watched targets share the budget of probes, so that control
+        costs the same on an instance whatever it watches.
+        """
+        probed = sum(len(tasks) - 1 for tasks in self._tasks.values())
+        budget = self._core.options.probes_per_second
+        return max(LEAST_INTERVAL_S, probed / budget)
+
+    @property
+    def suspect_s(self):
+        """Return the seconds of silence that call for a promotion."""
+        return SUSPECT_INTERVALS * self.interval_s
+
+    @property
+    def heard_s(self):
+        """Return for how many seconds an answer tells the present."""
+        return HEARD_INTERVALS * self.interval_s
+
     def silent_s(self, group):
         """Return for how long no primary was heard to lead a group."""
         return clock.now() - self._led.get(group, float("-inf"))
@@ -111,7 +133,7 @@
             started = clock.now()
             await self._probe(group, name)
             spent = clock.now() - started
-            await clock.pause(PROBE_INTERVAL_S - spent)
+            await clock.pause(self.interval_s - spent)
 
     async def _probe(self, group, name):
         target = self._core.configuration.plan.targets.get(name)
@@ -133,7 +155,7 @@
         if status.role == "primary" and status.term >= view.term:
             self._led[group] = clock.now()
         self._core.groups.record_status(
-            group, target, status, asked, clock.now(), PROBE_INTERVAL_S
+            group, target, status, asked, clock.now(), self.interval_s
         )
         names = self._core.configuration.plan.groups[group].targets
         self._core.groups.record_led(group, names)
@@ -179,11 +201,11 @@
 
     def _is_silent(self, target):
         last = self._heard.get(target, float("-inf"))
-        return clock.now() - last > SUSPECT_S
+        return clock.now() - last > self.suspect_s
 
     def _recent(self, names):
         """Return the statuses heard lately."""
-        earliest = clock.now() - HEARD_S
+        earliest = clock.now() - self.heard_s
         roles = self._core.groups.roles
         return [
             roles[name]
@@ -193,9 +215,9 @@
 
     async def _consider_forever(self, group, names):
         since = {}
-        await clock.pause(HEARD_S)
+        await clock.pause(self.heard_s)
         while True:
-            await clock.pause(PROBE_INTERVAL_S / 2)
+            await clock.pause(self.interval_s / 2)
             statuses = self._recent(names)
             self._learn_leader(group, statuses)
             await self._retire_leaving(group, names)
@@ -232,7 +254,7 @@
         heard = {status.name for status in statuses}
         if not majorities.has_majority(voters, heard):
             return None
-        if not view.primary or self.silent_s(group) > SUSPECT_S:
+        if not view.primary or self.silent_s(group) > self.suspect_s:
             return "suspected"
         if max(status.term for status in statuses) > view.term:
             return "suspected"
@@ -284,7 +306,7 @@
         return any(
             sight is not None
             and sight.term >= view.term
-            and sight.silent_s < SUSPECT_S / 2
+            and sight.silent_s < self.suspect_s / 2
             and view.primary
             for sight in answers
         )
--- a/balsamhinge/core.py
+++ b/balsamhinge/core.py
@@ -50,12 +50,15 @@
         Instances that divide the connections in the baseline.
     seed : int
         Seed of all random choices.
+    probes_per_second : float
+        Most probes of targets in a second.
     """
 
     token_key: bytes
     baseline: bool = False
     shares: int = 0
     seed: int = 0
+    probes_per_second: float = 90.0
 
 
 class Core:
--- a/balsamhinge/daemon.py
+++ b/balsamhinge/daemon.py
@@ -58,6 +58,7 @@
             settings.baseline,
             settings.shares,
             settings.seed,
+            settings.probes_per_second,
         )
         self.core = core.Core(
             settings.member, outside, options, settings.seeds
--- a/balsamhinge/policy/homes.py
+++ b/balsamhinge/policy/homes.py
@@ -6,11 +6,13 @@
    hit rates", IEEE/ACM Transactions on Networking 6(1), 1998.
 """
 
+import bisect
+
 import attrs
 
 from balsamhinge.policy import hashing
 
-__all__ = ["Member", "home_order", "rank"]
+__all__ = ["HomeOrders", "Member", "rank"]
 
 
 @attrs.frozen
@@ -31,6 +33,11 @@
     leaving: bool = False
 
 
+def weight(key, name):
+    """Return how strongly a member is preferred for a key."""
+    return hashing.hash_text(f"{key}/{name}")
+
+
 def rank(members, key):
     """Return `members` in order of preference for `key`.
 
@@ -48,29 +55,71 @@
         moves only the keys that it came first for.
     """
     return sorted(
-        members,
-        key=lambda member: hashing.hash_text(f"{key}/{member.name}"),
-        reverse=True,
+        members, key=lambda member: weight(key, member.name), reverse=True
     )
 
 
-def home_order(members, target, data_centre):
-    """Return the instances that may care for a target, best first.
+class HomeOrders:
+    """The order of members for each target that was asked for.
 
-    Parameters
-    ----------
-    members : iterable of Member
-        Live instances.
-    target, data_centre : str
-        The target and where it stands.
-
-    Returns
-    -------
-    list of Member
-        Those of the target's own data centre come first: whoever is cut
-        off from that data centre can not reach the target either.
+    Notes
+    -----
+    A change of members is worked into the orders that are kept. Ranking
+    anew for each of thousands of targets takes seconds.
     """
-    staying = [member for member in members if not member.leaving]
-    near = [m for m in staying if m.data_centre == data_centre]
-    far = [m for m in staying if m.data_centre != data_centre]
-    return rank(near, target) + rank(far, target)
+
+    def __init__(self):
+        self._orders = {}
+        self._members = {}
+
+    def replace_members(self, members):
+        """Work a new list of members into the orders.
+
+        Parameters
+        ----------
+        members : dict of str to Member
+            By name.
+        """
+        gone = [
+            name
+            for name, member in self._members.items()
+            if members.get(name) != member
+        ]
+        come = [
+            member
+            for name, member in members.items()
+            if self._members.get(name) != member
+        ]
+        self._members = dict(members)
+        for (target, centre), order in self._orders.items():
+            if gone:
+                order[:] = [pair for pair in order if pair[1] not in gone]
+            for member in come:
+                if member.data_centre == centre:
+                    pair = -weight(target, member.name), member.name
+                    bisect.insort(order, pair)
+
+    def near(self, target, data_centre):
+        """Return the names of a data centre's members, best first."""
+        order = self._orders.get((target, data_centre))
+        if order is None:
+            order = sorted(
+                (-weight(target, name), name)
+                for name, member in self._members.items()
+                if member.data_centre == data_centre
+            )
+            self._orders[target, data_centre] = order
+        return [name for _weight, name in order]
+
+    def far(self, target, data_centre):
+        """Return the names of all other members, best first.
+
+        They are needed only while nobody of the target's own data centre
+        answers, so their order is not kept.
+        """
+        others = [
+            member
+            for member in self._members.values()
+            if member.data_centre != data_centre
+        ]
+        return [member.name for member in rank(others, target)]
--- a/balsamhinge/policy/views.py
+++ b/balsamhinge/policy/views.py
@@ -4,7 +4,14 @@
 
 from balsamhinge.policy import hashing
 
-__all__ = ["BUCKETS", "GroupView", "bucket_digests", "bucket_of", "newer"]
+__all__ = [
+    "BUCKETS",
+    "GroupView",
+    "bucket_digests",
+    "bucket_of",
+    "newer",
+    "toggle",
+]
 
 BUCKETS = 64
 
@@ -56,6 +63,12 @@
     """
     digests = [0] * BUCKETS
     for view in views:
+        toggle(digests, view)
+    return digests
+
+
+def toggle(digests, view):
+    """Add a view to digests, or take it out again; None changes nothing."""
+    if view is not None:
         entry = f"{view.group}/{view.term}"
         digests[bucket_of(view.group)] ^= hashing.hash_text(entry)
-    return digests
--- a/balsamhinge/settings.py
+++ b/balsamhinge/settings.py
@@ -22,7 +22,7 @@
     "targets": ["user", "password", "database", "tls", "authority"],
     "sessions": ["key"],
     "log": ["level"],
-    "policy": ["baseline", "shares"],
+    "policy": ["baseline", "shares", "probes_per_second"],
 }
 OPTIONAL_SECTIONS = ("policy", "log")
 LEAST_SECRET_LENGTH = 16
@@ -78,7 +78,7 @@
         Seconds that a graceful stop waits for open work.
     baseline : bool
         See `balsamhinge.core.Options`.
-    shares, seed : int
+    shares, seed, probes_per_second : int
         See `balsamhinge.core.Options`.
     """
 
@@ -96,6 +96,7 @@
     baseline: bool
     shares: int
     seed: int
+    probes_per_second: int
 
     @classmethod
     def from_file(cls, path):
@@ -152,6 +153,9 @@
             stop_patience_s=instance.number("stop_patience_s", 30, 0, 3600),
             baseline=policy.flag("baseline", "no"),
             shares=policy.number("shares", 0, 0, 10_000),
+            probes_per_second=policy.number(
+                "probes_per_second", 90, 1, 10_000
+            ),
             seed=instance.number("seed", 0, 0, 2**31),
         )
 
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -7,6 +7,7 @@
 from bench import crest
 from bench import failover
 from bench import replica_reads
+from bench import slopes
 from bench import stragglers
 from bench import throughput
 
@@ -16,6 +17,7 @@
     "crest": crest.measure,
     "stragglers": stragglers.measure,
     "throughput": throughput.measure,
+    "slopes": slopes.measure,
 }
 
 
--- a/tests/policy/test_rules.py
+++ b/tests/policy/test_rules.py
@@ -54,17 +54,31 @@
         ]
 
     def test_own_data_centre_first(self):
-        order = homes.home_order(self.members, "t", "y")
-        self.assertEqual({"y"}, {m.data_centre for m in order[:10]})
+        orders = homes.HomeOrders()
+        orders.replace_members({m.name: m for m in self.members})
+        self.assertEqual(10, len(orders.near("t", "y")))
+        self.assertEqual({"y"}, {n[0] for n in orders.near("t", "y")})
+        self.assertEqual({"x", "z"}, {n[0] for n in orders.far("t", "y")})
 
     def test_loss_of_a_member_moves_only_its_targets(self):
         lost = self.members[13]
         left = [m for m in self.members if m is not lost]
-        for number in range(100):
-            before = homes.home_order(self.members, f"t{number}", "y")[0]
-            after = homes.home_order(left, f"t{number}", "y")[0]
-            if before is not lost:
-                self.assertEqual(before, after)
+        orders = homes.HomeOrders()
+        orders.replace_members({m.name: m for m in self.members})
+        before = [orders.near(f"t{n}", "y")[0] for n in range(100)]
+        orders.replace_members({m.name: m for m in left})
+        after = [orders.near(f"t{n}", "y")[0] for n in range(100)]
+        self.assertNotEqual(before, after)
+        for one, other in zip(before, after, strict=True):
+            self.assertIn(one, (other, lost.name))
+
+    def test_changes_give_the_same_order_as_a_fresh_start(self):
+        kept, fresh = homes.HomeOrders(), homes.HomeOrders()
+        kept.replace_members({m.name: m for m in self.members[:20]})
+        kept.near("t", "y")
+        kept.replace_members({m.name: m for m in self.members[5:]})
+        fresh.replace_members({m.name: m for m in self.members[5:]})
+        self.assertEqual(fresh.near("t", "y"), kept.near("t", "y"))
 
 
 class FreshnessTest(testtools.TestCase):
