--- a/balsamhinge/api/server.py
+++ b/balsamhinge/api/server.py
@@ -14,6 +14,9 @@
 # The default of 5 drops connections at a crest; they return after 1 s.
 LISTEN_BACKLOG = 512
 SOCKET_TIMEOUT_S = 60
+# cheroot keeps 10 idle connections by default and closes the others, whose
+# callers then connect anew for each request.
+KEPT_CONNECTIONS = 10_000
 CALLERS_PATH = "/v1/services"
 
 
@@ -66,6 +69,10 @@
             self._bridge, self._core, settings.operator_token
         )
         cherrypy.tree.mount(health, "/")
+        server, address = cherrypy.server.httpserver_from_self()
+        server.keep_alive_conn_limit = KEPT_CONNECTIONS
+        cherrypy.server.httpserver = server
+        cherrypy.server.bind_addr = address
         cherrypy.engine.start()
 
     def stop(self):
--- a/balsamhinge/filters/entry.py
+++ b/balsamhinge/filters/entry.py
@@ -28,7 +28,7 @@
 LEAST_LEFT_S = 0.001
 # Part of the remaining time that one attempt may take.
 ONLY_SHARE = 0.5
-REPLICA_SHARE = 0.25
+REPLICA_SHARE = 0.125
 FORWARD_MARGIN_S = 0.02
 HOMES_TRIED = 3
 
--- a/balsamhinge/policy/admission.py
+++ b/balsamhinge/policy/admission.py
@@ -26,6 +26,9 @@
         Statements at once.
     reserved_short : int
         Slots that long work never takes.
+    ahead : int
+        Short requests that wait inside the target, so that none of its
+        slots idles while an answer travels.
     ordered : bool
         Whether the queue orders and refuses; False is the first-in,
         first-out baseline.
@@ -33,8 +36,14 @@
 
     slots: int
     reserved_short: int = 1
+    ahead: int = 1
     ordered: bool = True
 
+    @property
+    def most_running(self):
+        """Return how many requests may be at the target at once."""
+        return self.slots + self.ahead if self.ordered else self.slots
+
     @property
     def long_slots(self):
         """Return how many long requests may run at once."""
@@ -110,7 +119,7 @@
             for t in self.running
             if t.long == ticket.long
         )
-        if len(self.running) < self.limits.slots and not ahead:
+        if len(self.running) < self.limits.most_running and not ahead:
             return 0.0
         return work / slots
 
@@ -145,7 +154,7 @@
 
     def start_next(self, now):
         """Return the ticket that takes a slot now, or None."""
-        if len(self.running) >= self.limits.slots:
+        if len(self.running) >= self.limits.most_running:
             return None
         self._waiting = [t for t in self._waiting if not t.abandoned]
         allowed = [t for t in self._waiting if self._may_run(t)]
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,6 +6,7 @@
 
 from bench import crest
 from bench import failover
+from bench import idle
 from bench import replica_reads
 from bench import slopes
 from bench import stragglers
@@ -18,6 +19,7 @@
     "stragglers": stragglers.measure,
     "throughput": throughput.measure,
     "slopes": slopes.measure,
+    "idle": idle.measure,
 }
 
 
