--- a/balsamhinge/api/bodies.py
+++ b/balsamhinge/api/bodies.py
@@ -7,7 +7,7 @@
 
 from balsamhinge.api import values
 from balsamhinge import exceptions
-from balsamhinge.filters import entry
+from balsamhinge.filters import attempts
 from balsamhinge.policy import messages
 
 __all__ = ["BadBody", "answer_body", "parse_request"]
@@ -69,7 +69,7 @@
     except msgspec.DecodeError as exc:
         raise BadBody(str(exc)) from exc
     _check_limits(body)
-    return entry.Request(
+    return attempts.Request(
         service=service,
         work_class=body.work_class,
         statements=_statements(body, step),
--- a/balsamhinge/configuration/checks.py
+++ b/balsamhinge/configuration/checks.py
@@ -119,6 +119,7 @@
 
 def _check_targets(plan, found):
     places = {}
+    grouped = {n for group in plan.groups.values() for n in group.targets}
     for target in plan.targets.values():
         section = f"target {target.name}"
         place = (target.host, target.port)
@@ -139,7 +140,7 @@
                 f"{target.slots} slots",
                 f"allow at least {least}",
             )
-        if not plan.group_of_target(target.name):
+        if target.name not in grouped:
             found.add(
                 target.line,
                 section,
--- a/balsamhinge/configuration/plan.py
+++ b/balsamhinge/configuration/plan.py
@@ -113,13 +113,6 @@
     groups: dict[str, Group] = attrs.Factory(dict)
     targets: dict[str, Target] = attrs.Factory(dict)
 
-    def group_of_target(self, target):
-        """Return the name of the group that a target belongs to."""
-        for group in self.groups.values():
-            if target in group.targets:
-                return group.name
-        return ""
-
     def is_leaving(self, target):
         """Return whether operators want a target to leave."""
         known = self.targets.get(target)
--- a/balsamhinge/standins/target.py
+++ b/balsamhinge/standins/target.py
@@ -11,8 +11,9 @@
 
 from balsamhinge.configuration import plan
 from balsamhinge import exceptions
-from balsamhinge.standins import database
+from balsamhinge.standins import answers
 from balsamhinge.standins import replication
+from balsamhinge.standins import sessions
 from balsamhinge.targets import postgres
 from balsamhinge.targets import protocol
 
@@ -90,7 +91,7 @@
         self._connection = connection
         await asyncio.sleep(self._database.knobs.connect_s)
         try:
-            self._session = database.DatabaseSession(self._database)
+            self._session = sessions.DatabaseSession(self._database)
         except exceptions.CommandFailed:
             return
 
@@ -215,6 +216,6 @@
 
 async def fetch_log(conn, term, last, most, timeout_s):
     """Return what `Database.read_log` of the connected primary gives."""
-    statement = database.log_statement(term, last, most, timeout_s)
+    statement = answers.log_statement(term, last, most, timeout_s)
     (result,) = await conn.pipeline([statement])
-    return database.parse_log(result)
+    return answers.parse_log(result)
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -5,7 +5,7 @@
 
 from balsamhinge import exceptions
 from balsamhinge import links
-from balsamhinge.standins import database
+from balsamhinge.standins import sessions
 from balsamhinge.targets import connection
 
 __all__ = ["MemoryConnection", "Network", "PeerFake", "StoreFake"]
@@ -110,7 +110,7 @@
         self._network = network
         self._me = me
         self._target = target
-        self._session = database.DatabaseSession(target)
+        self._session = sessions.DatabaseSession(target)
         self._broken = False
         self._running = None
         network.connections.append((me, target.name, self._break))
--- a/tests/support/history.py
+++ b/tests/support/history.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from balsamhinge.filters import entry
+from balsamhinge.filters import attempts
 from balsamhinge.policy import messages
 
 __all__ = ["Caller", "Checker", "Event"]
@@ -124,7 +124,7 @@
         """
         for _attempt in range(TRIES):
             instance = self._rng.choice(sorted(self._world.cores))
-            req = entry.Request(
+            req = attempts.Request(
                 "ladder",
                 work_class,
                 [statement],
--- a/tests/support/world.py
+++ b/tests/support/world.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from balsamhinge import core
-from balsamhinge.filters import entry
+from balsamhinge.filters import attempts
 from balsamhinge import links
 from balsamhinge.policy import homes
 from balsamhinge.policy import messages
@@ -222,7 +222,7 @@
         """Run one statement through an instance; return its `Answer`."""
         statements = [messages.Statement(sql, list(params))] if sql else []
         service = fields.pop("service", "ladder")
-        req = entry.Request(service, work_class, statements, **fields)
+        req = attempts.Request(service, work_class, statements, **fields)
         return await self.call(instance, req)
 
     async def call(self, instance, req):
