Instances that are no longer homes give their connections up

Cause: a home for a while kept its idle connections for ever, and every home counts on half of a target's. Without the new loop the scenario shows them held. Also: one base for errors of calls to targets, one bearer token, unused pieces removed.

--- a/balsamhinge/api/callers.py
+++ b/balsamhinge/api/callers.py
@@ -4,13 +4,13 @@
 CherryPy's own request handling takes most of the time of a statement.
 """
 
-import hmac
 import http
 import math
 import re
 
 import msgspec
 
+from balsamhinge.api import bearer
 from balsamhinge.api import bodies
 from balsamhinge import exceptions
 from balsamhinge.policy import messages
@@ -50,7 +50,7 @@
     def __init__(self, bridge, core, token):
         self._bridge = bridge
         self._core = core
-        self._expected = f"Bearer {token}".encode() if token else b""
+        self._token = bearer.BearerToken(token)
 
     def __call__(self, environ, start_response):
         """Serve one request."""
@@ -75,7 +75,7 @@
     def _serve(self, environ):
         # The body is always read, so that the connection stays usable.
         content = read_body(environ)
-        if not self._allowed(environ):
+        if not self._token.accepts(environ.get("HTTP_AUTHORIZATION", "")):
             return problem(
                 http.HTTPStatus.UNAUTHORIZED, "the caller token is wrong"
             )
@@ -99,12 +99,6 @@
         answer = self._bridge.run(self._core.entry(req), patience)
         return answered(answer)
 
-    def _allowed(self, environ):
-        if not self._expected:
-            return True
-        given = environ.get("HTTP_AUTHORIZATION", "").encode("latin-1")
-        return hmac.compare_digest(given, self._expected)
-
 
 def read_body(environ):
     """Return a request's body, or None if it is too large."""
--- a/balsamhinge/api/operators.py
+++ b/balsamhinge/api/operators.py
@@ -1,11 +1,10 @@
 """Operators' pages on CherryPy's tree."""
 
-import hmac
-
 import attrs
 import cherrypy
 import msgspec
 
+from balsamhinge.api import bearer
 from balsamhinge import exceptions
 from balsamhinge import metrics
 from balsamhinge.policy import tokens
@@ -89,12 +88,12 @@
     def __init__(self, bridge, core, token):
         self._bridge = bridge
         self._core = core
-        self._expected = f"Bearer {token}".encode() if token else b""
+        self._token = bearer.BearerToken(token)
 
     def require_token(self):
         """Refuse a request without the operators' token."""
-        given = cherrypy.request.headers.get("Authorization", "").encode()
-        if self._expected and not hmac.compare_digest(given, self._expected):
+        given = cherrypy.request.headers.get("Authorization", "")
+        if not self._token.accepts(given):
             raise cherrypy.HTTPError(401, "the operator token is wrong")
 
     @json_page
--- a/balsamhinge/controllers/confirmations.py
+++ b/balsamhinge/controllers/confirmations.py
@@ -119,7 +119,7 @@
                     self._supersede(term, target.name, str(exc))
                     return
                 await clock.pause(RETRY_S)
-            except (exceptions.AnswerLost, exceptions.NotRunError):
+            except exceptions.TargetError:
                 await clock.pause(RETRY_S)
             else:
                 self._count(term, target.name, status.received, asked)
--- a/balsamhinge/controllers/gates.py
+++ b/balsamhinge/controllers/gates.py
@@ -32,7 +32,6 @@
         self.pool = pools.ConnectionPool(link, target, size)
         self.pinned = 0
         self._turns = {}
-        self._timer = None
 
     @property
     def most_pinned(self):
@@ -120,11 +119,18 @@
         self.gates[target.name] = gate
         return gate
 
-    async def close_idle(self, target):
-        """Give up the connections to a target that another cares for."""
-        gate = self.gates.get(target)
-        if gate is not None and not gate.queue.running:
-            await gate.pool.close()
+    async def close_foreign(self, is_home):
+        """Give up idle connections to targets that others care for.
+
+        Parameters
+        ----------
+        is_home : callable
+            Returns whether this instance cares for a target. Every home
+            counts on half of a target's connections.
+        """
+        for gate in list(self.gates.values()):
+            if not is_home(gate.target):
+                await gate.pool.close()
 
     async def close(self):
         """Close the idle connections of every gate."""
--- a/balsamhinge/controllers/progress.py
+++ b/balsamhinge/controllers/progress.py
@@ -82,11 +82,7 @@
                     poll_s,
                     timeout_s=poll_s + ANSWER_S,
                 )
-            except (
-                exceptions.AnswerLost,
-                exceptions.CommandFailed,
-                exceptions.NotRunError,
-            ):
+            except exceptions.TargetError:
                 await clock.pause(RETRY_S)
                 continue
             poll_s = POLL_S
--- a/balsamhinge/controllers/promotions.py
+++ b/balsamhinge/controllers/promotions.py
@@ -84,11 +84,7 @@
         async with lock:
             try:
                 return await self._promote(group, reason, preferred)
-            except (
-                exceptions.AnswerLost,
-                exceptions.NotRunError,
-                exceptions.CommandFailed,
-            ) as exc:
+            except (exceptions.TargetError, exceptions.NotRunError) as exc:
                 event(log.warning, "promotion_failed", group=group, error=exc)
                 return None
 
@@ -228,11 +224,7 @@
             return await self._core.control.call(
                 target, PURPOSE, method, *args, timeout_s=CALL_S
             )
-        except (
-            exceptions.AnswerLost,
-            exceptions.NotRunError,
-            exceptions.CommandFailed,
-        ):
+        except exceptions.TargetError:
             return None
 
     async def _claim(self, group, term):
--- a/balsamhinge/controllers/retention.py
+++ b/balsamhinge/controllers/retention.py
@@ -68,9 +68,5 @@
                 timeout_s=CALL_S,
             )
             await self._core.control.close_purpose(target, PURPOSE)
-        except (
-            exceptions.AnswerLost,
-            exceptions.CommandFailed,
-            exceptions.NotRunError,
-        ) as exc:
+        except exceptions.TargetError as exc:
             event(log.warning, "sweep_failed", target=target.name, error=exc)
--- a/balsamhinge/controllers/spreading.py
+++ b/balsamhinge/controllers/spreading.py
@@ -46,7 +46,6 @@
         self._rng = rng
         self._tasks = set()
         self.versions = {}
-        self.store_answers = False
 
     def start(self):
         """Start the loops on the running loop."""
@@ -217,10 +216,8 @@
             try:
                 stored = await self._links.store.watch(key, version, WATCH_S)
             except exceptions.StoreUnavailable:
-                self.store_answers = False
                 await clock.pause(STORE_RETRY_S * self._rng.uniform(0.5, 1.5))
                 continue
-            self.store_answers = True
             if stored is not None:
                 version = max(version, stored.version)
                 take(stored)
--- a/balsamhinge/controllers/watching.py
+++ b/balsamhinge/controllers/watching.py
@@ -81,10 +81,6 @@
         """Return for how long no primary was heard to lead a group."""
         return clock.now() - self._led.get(group, float("-inf"))
 
-    def watched(self):
-        """Return the names of the groups that are watched here."""
-        return sorted(self._tasks)
-
     async def _reconcile_forever(self):
         while True:
             self._reconcile()
@@ -144,11 +140,7 @@
             status = await self._core.control.call(
                 target, PURPOSE, "status", timeout_s=PROBE_TIMEOUT_S
             )
-        except (
-            exceptions.AnswerLost,
-            exceptions.NotRunError,
-            exceptions.CommandFailed,
-        ):
+        except exceptions.TargetError:
             return
         self._heard[name] = clock.now()
         view = self._core.groups.view(group)
@@ -192,11 +184,7 @@
                 view.primary,
                 timeout_s=PROBE_TIMEOUT_S,
             )
-        except (
-            exceptions.AnswerLost,
-            exceptions.NotRunError,
-            exceptions.CommandFailed,
-        ) as exc:
+        except exceptions.TargetError as exc:
             event(log.debug, "repair_failed", target=target.name, error=exc)
 
     def _is_silent(self, target):
@@ -338,10 +326,6 @@
                     view.term,
                     timeout_s=PROBE_TIMEOUT_S,
                 )
-            except (
-                exceptions.AnswerLost,
-                exceptions.NotRunError,
-                exceptions.CommandFailed,
-            ):
+            except exceptions.TargetError:
                 continue
             event(log.info, "target_retired", group=group, target=name)
--- a/balsamhinge/core.py
+++ b/balsamhinge/core.py
@@ -30,6 +30,7 @@
 CATCH_UP_PEERS = 5
 START_S = 2.0
 DRAIN_POLL_S = 0.02
+FOREIGN_S = 2.0
 
 log = logbook.Logger(__name__)
 
@@ -130,6 +131,7 @@
         await self._catch_up()
         self.watching.start()
         self.retention.start()
+        self.spawn(clock.run_forever(self._close_foreign, FOREIGN_S))
         event(
             log.info,
             "instance_started",
@@ -137,6 +139,9 @@
             configuration=self.configuration.version,
         )
 
+    async def _close_foreign(self):
+        await self.gates.close_foreign(self.members.is_home)
+
     async def _catch_up(self):
         try:
             async with asyncio.timeout(START_S):
--- a/balsamhinge/exceptions.py
+++ b/balsamhinge/exceptions.py
@@ -11,7 +11,7 @@
     "PeerUnavailable",
     "StoreConflict",
     "StoreUnavailable",
-    "TargetRefused",
+    "TargetError",
     "TransactionUnknown",
 ]
 
@@ -59,27 +59,15 @@
         self.retry_after_s = retry_after_s
 
 
-class ConnectionUnavailable(NotRunError):
-    """No connection to the target could be opened; nothing was sent."""
-
+class TargetError(BalsamhingeError):
+    """A call to a target gave no result."""
 
-class TargetRefused(NotRunError):
-    """The target itself refused the work; nothing of it is kept.
-
-    Parameters
-    ----------
-    sqlstate : str
-        The five-character code that the target gave.
-    message : str
-        The message that the target gave.
-    """
 
-    def __init__(self, sqlstate, message):
-        super().__init__(message)
-        self.sqlstate = sqlstate
+class ConnectionUnavailable(NotRunError, TargetError):
+    """No connection to the target could be opened; nothing was sent."""
 
 
-class CommandFailed(BalsamhingeError):
+class CommandFailed(TargetError):
     """One command of a pipeline failed at the target.
 
     Parameters
@@ -100,7 +88,7 @@
         self.results = results
 
 
-class AnswerLost(BalsamhingeError):
+class AnswerLost(TargetError):
     """Work was sent and no answer came: its outcome is unknown."""
 
 
--- a/balsamhinge/policy/admission.py
+++ b/balsamhinge/policy/admission.py
@@ -166,13 +166,6 @@
         ticket.started = now
         return ticket
 
-    def expire(self, now):
-        """Remove and return the tickets whose deadline has passed."""
-        expired = [t for t in self._waiting if t.deadline <= now]
-        for ticket in expired:
-            self._waiting.remove(ticket)
-        return expired
-
     def finish(self, ticket, now):
         """Free a ticket's slot and learn how long it took.
 
--- a/balsamhinge/policy/messages.py
+++ b/balsamhinge/policy/messages.py
@@ -36,7 +36,6 @@
     NO_PRIMARY = "no_primary"
     NO_TARGET = "no_target"
     OVERLOADED = "overloaded"
-    DEADLINE = "deadline"
     DATABASE = "database"
     DRAINING = "draining"
     TOO_OLD = "too_old"
--- a/balsamhinge/policy/outcomes.py
+++ b/balsamhinge/policy/outcomes.py
@@ -7,14 +7,6 @@
 __all__ = ["Attempts", "Finish", "TryNext", "WaitForChange", "next_step"]
 
 Reason = messages.Reason
-MOVED = (
-    Reason.SUPERSEDED,
-    Reason.NO_PRIMARY,
-    Reason.NO_TARGET,
-    Reason.DRAINING,
-    Reason.NOT_CONFIRMED,
-    Reason.ANSWER_LOST,
-)
 
 
 @attrs.frozen
--- a/balsamhinge/policy/spread.py
+++ b/balsamhinge/policy/spread.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-__all__ = ["FANOUT", "Branch", "branches", "relays"]
+__all__ = ["FANOUT", "Branch", "branches"]
 
 FANOUT = 8
 
@@ -60,8 +60,3 @@
     return [
         Branch(chosen[at : at + size]) for at in range(0, len(chosen), size)
     ]
-
-
-def relays(ranked, count):
-    """Return the first `count` names of a ranking of members."""
-    return [member.name for member in ranked[:count]]
--- a/tests/features/steps/promises.py
+++ b/tests/features/steps/promises.py
@@ -381,3 +381,56 @@
     core = context.world.cores[name]
     text = msgspec.json.decode(context.old_text.value, type=links.TextVersion)
     core.configuration.learn(context.old_text.version, text)
+
+
+@when("the home of the primary is killed")
+def kill_home(context):
+    core = next(iter(context.world.cores.values()))
+    name = context.world.primary().name
+    target = core.configuration.plan.targets[name]
+    context.owner = core.members.homes(target)[0].name
+    system.run(context, context.world.kill_instance(context.owner))
+
+
+@when("the killed instance starts again with nothing")
+def restart_home(context):
+    system.run(context, context.world.restart_instance(context.owner))
+
+
+@then("only homes hold connections for callers' work")
+def check_foreign(context):
+    held = [
+        (core.name, gate.target.name)
+        for core in context.world.cores.values()
+        for gate in core.gates.gates.values()
+        if gate.pool.open and not core.members.is_home(gate.target)
+    ]
+    requests.expect(held, matchers.Equals([]))
+
+
+@when("{count:d} transactions begin at {instance}")
+def begin_many(context, count, instance):
+    async def begin_all():
+        return [
+            await context.world.run(
+                instance, "submit", "", step=messages.Step.BEGIN
+            )
+            for _number in range(count)
+        ]
+
+    context.begun = system.run(context, begin_all())
+
+
+@then("some transactions were refused as overloaded")
+def check_refused(context):
+    reasons = {answer.reply.reason.value for answer in context.begun}
+    requests.expect(reasons, matchers.Equals({"", "overloaded"}))
+
+
+@then("no target had more connections than its limit")
+def check_limit(context):
+    for held in context.world.databases.values():
+        limit = held.knobs.connections
+        requests.expect(
+            held.peak_connections, matchers.LessThan(limit + 1), held.name
+        )
