--- a/balsamhinge/api/operators.py
+++ b/balsamhinge/api/operators.py
@@ -41,6 +41,7 @@
     def metrics(self):
         """Give all metrics to Prometheus."""
         cherrypy.response.headers["Content-Type"] = TEXT
+        self._bridge.call(metrics.observe_state, self._core)
         return metrics.render()
 
 
--- a/balsamhinge/filters/entry.py
+++ b/balsamhinge/filters/entry.py
@@ -82,7 +82,7 @@
     async def identify(self, req, proceed):
         """Give the request an identifier and refuse it while stopping."""
         req.request_id = req.request_id or uuid.uuid4().hex
-        log_request(req.request_id)
+        log_request(f"{req.service}/{req.request_id}")
         if not self._core.ready and req.step in (Step.SINGLE, Step.BEGIN):
             return messages.Reply.not_run(
                 Reason.DRAINING, "the instance takes no new work"
--- a/balsamhinge/filters/home.py
+++ b/balsamhinge/filters/home.py
@@ -1,12 +1,15 @@
 """What the home of a target does with work: the inner chain."""
 
 import attrs
+import logbook
 
 from balsamhinge.controllers import clock
 from balsamhinge.controllers import confirmations
 from balsamhinge import exceptions
 from balsamhinge.filters import chain
 from balsamhinge.filters import execution
+from balsamhinge.logs import event
+from balsamhinge.logs import log_request
 from balsamhinge.policy import admission
 from balsamhinge.policy import messages
 from balsamhinge.policy import positions
@@ -22,6 +25,7 @@
 )
 DEADLINE_MARGIN_S = 0.001
 ASK_S = 0.01
+log = logbook.Logger(__name__)
 Step = messages.Step
 
 
@@ -51,12 +55,23 @@
 
     async def __call__(self, work):
         """Do `work` and return a `Reply`; never raises."""
-        deadline = clock.now() + work.remaining_s - DEADLINE_MARGIN_S
+        log_request(work.request_id)
+        started = clock.now()
+        deadline = started + work.remaining_s - DEADLINE_MARGIN_S
         self._core.in_flight += 1
         try:
-            return await self._chain(execution.HomeRequest(work, deadline))
+            reply = await self._chain(execution.HomeRequest(work, deadline))
         finally:
             self._core.in_flight -= 1
+        event(
+            log.debug,
+            "work",
+            target=work.target,
+            outcome=reply.outcome,
+            reason=reply.reason,
+            seconds=clock.now() - started,
+        )
+        return reply
 
     async def translate_errors(self, req, proceed):
         """Turn errors into one of the three outcomes."""
--- a/balsamhinge/metrics.py
+++ b/balsamhinge/metrics.py
@@ -2,7 +2,7 @@
 
 import prometheus_client
 
-__all__ = ["observe_request", "render"]
+__all__ = ["observe_request", "observe_state", "render"]
 
 BUCKETS_S = (
     0.001,
@@ -33,6 +33,37 @@
 )
 
 
+VERSION = prometheus_client.Gauge(
+    "balsamhinge_configuration_version",
+    "Version of the configuration in force.",
+)
+QUEUED = prometheus_client.Gauge(
+    "balsamhinge_queued", "Requests that wait before a target.", ["target"]
+)
+CONNECTIONS = prometheus_client.Gauge(
+    "balsamhinge_connections", "Connections for work.", ["target"]
+)
+TERM = prometheus_client.Gauge(
+    "balsamhinge_term", "Term of a group's primary.", ["group"]
+)
+
+
+def observe_state(core):
+    """Set the gauges to an instance's state.
+
+    Parameters
+    ----------
+    core : Core
+        The instance's controllers.
+    """
+    VERSION.set(core.configuration.version)
+    for name, gate in core.gates.gates.items():
+        QUEUED.labels(name).set(len(gate.queue))
+        CONNECTIONS.labels(name).set(gate.pool.open)
+    for view in core.groups.views():
+        TERM.labels(view.group).set(view.term)
+
+
 def observe_request(service, work_class, reply, seconds):
     """Count a request.
 
--- a/balsamhinge/standins/sessions.py
+++ b/balsamhinge/standins/sessions.py
@@ -277,6 +277,10 @@
         setattr(self.database.knobs, name, float(value))
         return messages.CommandResult()
 
+    async def _call_peak(self):
+        peak = self.database.peak_connections
+        return messages.CommandResult(["peak"], [[peak]], 1)
+
     async def _call_log(self, term, last_term, last_offset, most, wait_s):
         last = positions.LogPosition(int(last_term), int(last_offset))
         agreed, entries = await self.database.read_log(
--- a/balsamhinge/standins/store.py
+++ b/balsamhinge/standins/store.py
@@ -1,6 +1,7 @@
 """A stand-in for the platform's object store, without its protocol."""
 
 import asyncio
+import collections
 
 import attrs
 
@@ -24,12 +25,16 @@
         How many of the next changes take effect without an answer.
     stale : dict of str to Stored
         Old objects that reads give in place of the current ones.
+    reads_per_second, writes_per_second : int
+        Calls beyond these fail; a watch counts as one read.
     """
 
     latency_s: float = 0.002
     down: bool = False
     lose_answers: int = 0
     stale: dict[str, links.Stored] = attrs.Factory(dict)
+    reads_per_second: int = 2000
+    writes_per_second: int = 300
 
 
 class ObjectStore(links.StoreLink):
@@ -46,6 +51,8 @@
         self.objects = {}
         self.reads = 0
         self.writes = 0
+        self._second = 0
+        self._counts = collections.Counter()
         self._changed = asyncio.Condition()
 
     def replace(self, key, stored):
@@ -57,6 +64,20 @@
         async with self._changed:
             self._changed.notify_all()
 
+    def _count(self, kind, most):
+        """Count a call, and refuse it beyond the rate."""
+        second = int(asyncio.get_running_loop().time())
+        if second != self._second:
+            self._second = second
+            self._counts.clear()
+        self._counts[kind] += 1
+        if self._counts[kind] > most:
+            raise exceptions.StoreUnavailable(f"too many {kind} a second")
+
+    def _count_read(self):
+        self.reads += 1
+        self._count("reads", self.knobs.reads_per_second)
+
     async def _answer(self):
         await asyncio.sleep(self.knobs.latency_s)
         if self.knobs.down:
@@ -64,13 +85,14 @@
 
     async def get(self, key):
         """See `StoreLink.get`."""
-        self.reads += 1
+        self._count_read()
         await self._answer()
         return self.knobs.stale.get(key) or self.objects.get(key)
 
     async def put(self, key, value, if_version):
         """See `StoreLink.put`."""
         self.writes += 1
+        self._count("writes", self.knobs.writes_per_second)
         await self._answer()
         held = self.objects.get(key)
         version = held.version if held else 0
@@ -88,7 +110,7 @@
 
     async def watch(self, key, after, timeout_s):
         """See `StoreLink.watch`."""
-        self.reads += 1
+        self._count_read()
         await self._answer()
 
         def newer():
--- a/bench/crest.py
+++ b/bench/crest.py
@@ -67,6 +67,7 @@
             sessions=SESSIONS,
             retries=RETRIES,
         )
+        peak = await driving.peak_connections(cluster, SERVICE)
     finally:
         await cluster.stop()
     crest = [r for r in records if CALM_S <= r.at < CALM_S + CREST_S]
@@ -90,6 +91,8 @@
         tries=sum(r.tries for r in crest) / len(crest),
         p50_ms=figures.percentile_ms(in_time(crest), 50),
         recovery_s=recovery_s(records),
+        peak_connections=peak,
+        connection_limit=shape.connections,
     )
 
 
--- a/bench/driving.py
+++ b/bench/driving.py
@@ -9,11 +9,12 @@
 
 import attrs
 import msgspec
+import psycopg
 
 from bench import cluster as cluster_module
 from bench import load
 
-__all__ = ["CREATE", "WRITE", "READ", "drive", "prepare"]
+__all__ = ["CREATE", "WRITE", "READ", "drive", "peak_connections", "prepare"]
 
 LEAD_S = 1.5
 PROCESSES = 3
@@ -34,6 +35,21 @@
                 raise RuntimeError(f"cannot prepare {service}: {answer}")
 
 
+async def peak_connections(cluster, group):
+    """Return the most connections that any target of a group had."""
+    peaks = []
+    for name in cluster.groups[group]:
+        port = cluster.target_ports[name]
+        conn = await psycopg.AsyncConnection.connect(
+            f"host={cluster_module.HOST} port={port} sslmode=disable"
+        )
+        cursor = psycopg.AsyncRawCursor(conn)
+        await cursor.execute("SELECT * FROM balsamhinge_peak()")
+        peaks.append((await cursor.fetchone())[0])
+        await conn.close()
+    return max(peaks)
+
+
 def make_spec(cluster, service, number, seed, **fields):
     """Return the `Spec` of one load process."""
     return load.Spec(
