Stand-ins stop at once; an operator's promotion is not taken for a discovery

Cause: the platform's stop waited 20 s for its own watches, on the loop that should have ended them (25 s -> 2 s). An operator's promotion on an instance that did not know the primary yet only learnt it; the test now looks at who leads afterwards.

--- a/balsamhinge/controllers/promotions.py
+++ b/balsamhinge/controllers/promotions.py
@@ -95,7 +95,8 @@
         statuses = await self._ask_all(names, "status")
         voters = promotion.agreed_voters(statuses, view.voters)
         leader = promotion.find_leader(statuses)
-        if leader is not None and leader.term > view.term:
+        unknown = leader is not None and leader.term > view.term
+        if unknown and reason != "operator":
             return self._learn(group, leader)
         if reason == "suspected" and leader is not None:
             return None
--- a/balsamhinge/controllers/watching.py
+++ b/balsamhinge/controllers/watching.py
@@ -272,12 +272,9 @@
         return ranked.index(me) if me in ranked else len(ranked)
 
     async def _act(self, group, wish):
-        match wish:
-            case "suspected":
-                if not await self._seen_by_others(group):
-                    await self._core.promotions.promote(group, wish)
-            case _:
-                await self._core.promotions.promote(group, wish)
+        if wish == "suspected" and await self._seen_by_others(group):
+            return
+        await self._core.promotions.promote(group, wish)
 
     async def _seen_by_others(self, group):
         """Return whether another watcher hears the primary."""
--- a/balsamhinge/embedded.py
+++ b/balsamhinge/embedded.py
@@ -127,7 +127,8 @@
     async def stop(self):
         """Stop the instance, then the stand-ins."""
         await self._daemon.stop()
-        self._platform.stop()
+        await self._store.close()
+        await asyncio.to_thread(self._platform.stop)
         for server in self._targets:
             server.stop()
 
--- a/balsamhinge/standins/programs.py
+++ b/balsamhinge/standins/programs.py
@@ -53,7 +53,8 @@
     server = platform.PlatformServer(held, host, port, loop)
     server.start()
     await until_stopped()
-    server.stop()
+    await held.close()
+    await asyncio.to_thread(server.stop)
 
 
 async def until_stopped():
--- a/balsamhinge/standins/store.py
+++ b/balsamhinge/standins/store.py
@@ -54,6 +54,12 @@
         self._second = 0
         self._counts = collections.Counter()
         self._changed = asyncio.Condition()
+        self._closed = False
+
+    async def close(self):
+        """End every watch."""
+        self._closed = True
+        await self._notify()
 
     def replace(self, key, stored):
         """Replace an object as the platform itself does."""
@@ -117,10 +123,15 @@
             held = self.objects.get(key)
             return held is not None and held.version > after
 
+        def ended():
+            return newer() or self._closed
+
         try:
             async with asyncio.timeout(timeout_s), self._changed:
-                await self._changed.wait_for(newer)
+                await self._changed.wait_for(ended)
         except TimeoutError:
             return None
+        if not newer():
+            return None
         await self._answer()
         return self.objects[key]
--- a/tests/api/test_callers.py
+++ b/tests/api/test_callers.py
@@ -156,3 +156,7 @@
         ]
         for words, code in cases:
             self.assertEqual(code, ctl.main(words), words)
+        rows = ctl.Client(url.partition("=")[2], "").call("GET", "status")
+        roles = {row["target"]: row["role"] for row in rows["groups"]}
+        self.assertEqual("primary", roles["second"])
+        self.assertEqual("retired", roles["first"])
