A change of voters keeps the primary where it can

Cause: among equal logs the candidate was chosen by name, so that retiring one target moved the primary between two others.

--- a/balsamhinge/controllers/promotions.py
+++ b/balsamhinge/controllers/promotions.py
@@ -103,6 +103,9 @@
         if not majorities.has_majority(voters, {s.name for s in statuses}):
             return None
         following = self._next_voters(group, voters, reason)
+        if reason == "voters":
+            # The list changes, the primary need not.
+            preferred = view.primary
         leader = await self._lead(
             group, statuses, voters, following, preferred
         )
