--- a/balsamhinge/controllers/spreading.py
+++ b/balsamhinge/controllers/spreading.py
@@ -15,7 +15,10 @@
 
 __all__ = ["SpreadingController"]
 
-EXCHANGE_INTERVAL_S = 0.5
+LEAST_INTERVAL_S = 0.5
+# Members for each second between two exchanges: what one instance lacks, a
+# larger fleet has more chances to bring.
+MEMBERS_PER_SECOND = 2700
 EXCHANGE_TIMEOUT_S = 0.5
 WATCH_S = 20.0
 STORE_RETRY_S = 1.0
@@ -49,11 +52,7 @@
 
     def start(self):
         """Start the loops on the running loop."""
-        self._spawn(
-            clock.run_forever(
-                self._exchange_once, EXCHANGE_INTERVAL_S, self._rng
-            )
-        )
+        self._spawn(self._exchange_forever())
         self._spawn(self._relay(links.CONFIGURATION_KEY, self._take_text))
         self._spawn(self._relay(links.INSTANCES_KEY, self._take_members))
 
@@ -189,6 +188,14 @@
             self._members.learn_returned(message.sender)
         return changed
 
+    async def _exchange_forever(self):
+        while True:
+            await self._exchange_once()
+            members = len(self._members.listed())
+            interval_s = max(LEAST_INTERVAL_S, members / MEMBERS_PER_SECOND)
+            # Instances that started together do not act together.
+            await clock.pause(interval_s * self._rng.uniform(0.8, 1.2))
+
     async def _exchange_once(self):
         names = self._members.others()
         chosen = self._rng.sample(names, 1) if names else []
--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -203,6 +203,7 @@
 key = {SECRET}
 [policy]
 baseline = {baseline}
+probes_per_second = {self.shape.probes_per_second}
 shares = {len(self.instances)}
 [log]
 level = info
--- a/bench/idle.py
+++ b/bench/idle.py
@@ -14,7 +14,8 @@
 
 SECONDS = 6.0
 SETTLE_S = 2.0
-GROUPS = (1, 3, 6)
+# Numbers of groups, and the budget of probes: today's and the design's.
+GROUPS = ((1, 90), (3, 90), (6, 90), (6, 20), (6, 8))
 KILOBYTES = 1024
 CONNECTIONS = (50, 500, 2000)
 BODY = b"ok\n"
@@ -29,9 +30,14 @@
     return 0
 
 
-async def measure_groups(seed, groups):
+async def measure_groups(seed, groups, probes_per_second):
     """Return the line of a system with some number of groups."""
-    shape = attrs.evolve(shapes.HOWRAH, groups=groups, instances_per_centre=1)
+    shape = attrs.evolve(
+        shapes.HOWRAH,
+        groups=groups,
+        instances_per_centre=1,
+        probes_per_second=probes_per_second,
+    )
     cluster = cluster_module.Cluster(shape, seed=seed)
     try:
         await cluster.start()
@@ -49,6 +55,7 @@
         seed=seed,
         groups=groups,
         probed=3 * groups,
+        probes_per_second=probes_per_second,
         processor_share=sum(used) / len(used) / SECONDS,
         memory_mb=memory / KILOBYTES**2,
     )
@@ -101,6 +108,7 @@
 
 async def measure(seed):
     """Print the cost at several numbers of groups and connections."""
-    for groups in GROUPS:
-        print(await measure_groups(seed, groups), flush=True)
+    for groups, probes_per_second in GROUPS:
+        line = await measure_groups(seed, groups, probes_per_second)
+        print(line, flush=True)
     await measure_connections(seed)
--- a/bench/shapes.py
+++ b/bench/shapes.py
@@ -41,6 +41,8 @@
         One way between data centres, in seconds.
     apply_lag_s, statement_s : float
         Seconds by which replicas apply late, and that a statement takes.
+    probes_per_second : int
+        Each instance's budget.
     """
 
     service: str
@@ -53,6 +55,7 @@
     delay_s: float
     apply_lag_s: float = 0.02
     statement_s: float = 0.005
+    probes_per_second: int = 90
 
 
 HOWRAH = Shape(
