A read of the latest data runs only where its term leads

Cause, found by reading: such a read was guarded like one of a replica. A target that was fenced after its group's old primary role, followed the new primary and had not applied its entries yet, answered without what was acknowledged; a voter cut off at the old term then confirmed that the old primary led. The guard now asks the target to lead at the read's term, so that whatever was acknowledged under a later term before the read had to fence it. Also: a home that does not watch a group confirms an aged read at the primary in place of refusing it.

--- a/balsamhinge/filters/execution.py
+++ b/balsamhinge/filters/execution.py
@@ -144,7 +144,9 @@
 
     async def _read(self, req, conn):
         work = req.work
-        guard = connection.Guard(work.view.term, work.needed)
+        guard = connection.Guard(
+            work.view.term, work.needed, lead=work.confirm
+        )
         done = await conn.read(guard, work.statements)
         return messages.Reply(
             messages.Outcome.DONE,
@@ -183,7 +185,7 @@
         """Return the first answer of a request that was run before."""
         work = req.work
         event(log.info, "request_repeated", request=work.request_id)
-        guard = connection.Guard(work.view.term)
+        guard = connection.Guard(work.view.term, lead=True)
         answer, _found, position = await conn.recorded_answer(
             guard, work.request_id
         )
@@ -202,7 +204,9 @@
         if gate.pinned >= gate.most_pinned:
             raise exceptions.NotRunError("too many open transactions", 0.1)
         conn = await self._acquire(req)
-        guard = connection.Guard(work.view.term, work.needed, write=work.write)
+        guard = connection.Guard(
+            work.view.term, work.needed, work.write, lead=True
+        )
         try:
             await self._within_deadline(req, conn, conn.begin(guard))
         except BaseException:
@@ -269,7 +273,7 @@
 
     async def _commit_reads(self, conn, opened):
         await conn.rollback()
-        guard = connection.Guard(opened.view.term)
+        guard = connection.Guard(opened.view.term, lead=True)
         done = await conn.read(guard, [])
         return written([], done.position, opened.view.term)
 
--- a/balsamhinge/filters/home.py
+++ b/balsamhinge/filters/home.py
@@ -141,6 +141,11 @@
         if not work.max_age_s:
             return await proceed(req)
         history = self._core.groups.history(work.group)
+        if not history and work.confirm:
+            # This instance does not watch the group; the confirmation
+            # will show that the primary's data are the latest.
+            req.work = attrs.evolve(work, max_age_s=0.0)
+            return await proceed(req)
         bound = history.needed_for(clock.now(), work.max_age_s)
         if bound is None:
             return messages.Reply.not_run(
--- a/balsamhinge/policy/freshness.py
+++ b/balsamhinge/policy/freshness.py
@@ -25,6 +25,9 @@
         self._led_until = float("-inf")
         self.held = positions.ORIGIN
 
+    def __len__(self):
+        return len(self._times)
+
     def record_led(self, until, held):
         """Record that the primary led until then, and what is confirmed.
 
--- a/balsamhinge/standins/sessions.py
+++ b/balsamhinge/standins/sessions.py
@@ -298,7 +298,7 @@
     async def _call_guard(self, mode, term, need_term, need_offset, idle_ms):
         held = self.database
         self.idle_limit_s = float(idle_ms) / 1000
-        if mode == "write":
+        if mode in (protocol.MODE_WRITE, protocol.MODE_LEAD):
             self._require_primary(int(term))
         elif held.retired:
             raise database.refusal(protocol.RETIRED, "the target is retired")
--- a/balsamhinge/targets/connection.py
+++ b/balsamhinge/targets/connection.py
@@ -49,6 +49,10 @@
     write : bool
         Whether the target must lead at `term`; otherwise the transaction
         becomes read-only.
+    lead : bool
+        Whether the target must lead at `term` for a read as well: one
+        that follows another primary by now can lack what that has
+        acknowledged.
     idle_ms : int
         Milliseconds after which the target undoes the transaction if
         nothing more comes.
@@ -57,15 +61,22 @@
     term: int
     needed: positions.LogPosition = positions.ORIGIN
     write: bool = False
+    lead: bool = False
     idle_ms: int = SINGLE_IDLE_MS
 
+    @property
+    def mode(self):
+        """Return the mode that the target knows."""
+        if self.write:
+            return protocol.MODE_WRITE
+        return protocol.MODE_LEAD if self.lead else protocol.MODE_READ
+
     def statement(self):
         """Return the statement that checks the guard."""
-        mode = "write" if self.write else "read"
         return messages.Statement(
             protocol.SQL_GUARD,
             [
-                mode,
+                self.mode,
                 self.term,
                 self.needed.term,
                 self.needed.offset,
--- a/balsamhinge/targets/protocol.py
+++ b/balsamhinge/targets/protocol.py
@@ -6,6 +6,9 @@
 __all__ = [
     "BEHIND",
     "DUPLICATE_REQUEST",
+    "MODE_LEAD",
+    "MODE_READ",
+    "MODE_WRITE",
     "NOT_PRIMARY",
     "REQUESTS_TABLE",
     "RETIRED",
@@ -34,6 +37,11 @@
 TOO_MANY_CONNECTIONS = "53300"
 DUPLICATE_REQUEST = "23505"
 
+# Modes of the guard: any target, the primary for a read, the primary.
+MODE_READ = "read"
+MODE_LEAD = "lead"
+MODE_WRITE = "write"
+
 REQUESTS_TABLE = "balsamhinge_requests"
 
 SQL_STATUS = "SELECT * FROM balsamhinge_status()"
@@ -50,7 +58,7 @@
 # offset, seconds: answer once reads see that much
 SQL_WAIT_APPLIED = "SELECT * FROM balsamhinge_wait_applied($1, $2)"
 # mode, term, needed term, needed offset, milliseconds of idleness after
-# which the transaction is undone; mode read makes it read-only
+# which the transaction is undone; read and lead make it read-only
 SQL_GUARD = "SELECT * FROM balsamhinge_guard($1, $2, $3, $4, $5)"
 # where the log that reads see ends
 SQL_APPLIED = "SELECT * FROM balsamhinge_applied()"
--- a/tests/targets/test_postgres.py
+++ b/tests/targets/test_postgres.py
@@ -153,6 +153,29 @@
 
         self.assertEqual((protocol.BEHIND, True), self.run_with_target(use))
 
+    def test_a_read_of_the_latest_data_needs_the_primary(self):
+        lead = connection.Guard(1, lead=True)
+
+        async def use(connect, held):
+            conn = await connect()
+            await conn.read(lead, [Statement("SELECT 1")])
+            await held.fence(2, "other")
+            await held.follow(2, "b")
+            refused = []
+            for term in (1, 2):
+                guard = connection.Guard(term, lead=True)
+                try:
+                    await conn.read(guard, [Statement("SELECT 1")])
+                except exceptions.CommandFailed as exc:
+                    refused.append(exc.sqlstate)
+            await conn.read(READ, [Statement("SELECT 1")])
+            return refused
+
+        self.assertEqual(
+            [protocol.SUPERSEDED, protocol.NOT_PRIMARY],
+            self.run_with_target(use),
+        )
+
     def test_a_read_can_not_write(self):
         async def use(connect, held):
             conn = await connect()
