--- a/balsamhinge/controllers/promotions.py
+++ b/balsamhinge/controllers/promotions.py
@@ -171,7 +171,11 @@
     async def _follow(self, leader, names):
         """Make others follow, until a majority holds the first entry."""
         others = sorted(names - {leader.primary})
-        await self._ask_all(others, "follow", leader.term, leader.primary)
+        # The primary itself is one of the majority.
+        enough = max(1, majorities.majority_size(leader.voters) - 1)
+        await self._ask_all(
+            others, "follow", leader.term, leader.primary, enough=enough
+        )
         plan = self._core.configuration.plan
         status = await self._core.control.call(
             plan.targets[leader.primary], PURPOSE, "status", timeout_s=CALL_S
@@ -182,6 +186,7 @@
             leader.term,
             status.received.offset,
             CALL_S / 2,
+            enough=enough,
         )
         held = {s.name for s in answers if promotion.holds(s, leader.term)}
         held.add(leader.primary)
@@ -190,20 +195,31 @@
                 "the first entry of the term is not confirmed yet"
             )
 
-    async def _ask_all(self, names, method, *args):
+    async def _ask_all(self, names, method, *args, enough=0):
         """Call a method of several targets.
 
+        Parameters
+        ----------
+        names : iterable of str
+            The targets.
+        method : str
+            Of `TargetConnection`.
+        *args
+            Its arguments.
+        enough : int
+            How many answers are enough; 0 for a majority of `names`.
+
         Returns
         -------
         list of TargetStatus
-            Of those that answered. Once a majority has, the others get
-            only a short grace: a silent target must not hold up the
-            promotion that its silence calls for.
+            Of those that answered. Once enough have, the others get only
+            a short grace: a silent target must not hold up the promotion
+            that its silence calls for.
         """
         waiting = {
             self._core.spawn(self._ask(name, method, *args)) for name in names
         }
-        enough = majorities.majority_size(names)
+        enough = enough or majorities.majority_size(names)
         answers = []
         patience_s = None
         while waiting:
--- a/tests/features/session.feature
+++ b/tests/features/session.feature
@@ -36,6 +36,15 @@
     And the results are read without a session at durgapur-2
     Then the read shows r1
 
+  Scenario: the latest data, asked for where a promotion was missed
+    Given a system with 2 instances in each data centre
+    And replicas apply 5 seconds late
+    When howrah and a voter miss a promotion in durgapur
+    And result r1 is posted at durgapur-1
+    And the results are read without a session at howrah-1
+    Then result r1 is answered done
+    And the read did not miss r1
+
   Scenario: after an outcome that was unknown and a repeat
     Given a system with 2 instances in each data centre
     When a request for result r1 starts at howrah-1
--- a/tests/features/steps/promises.py
+++ b/tests/features/steps/promises.py
@@ -434,3 +434,29 @@
         requests.expect(
             held.peak_connections, matchers.LessThan(limit + 1), held.name
         )
+
+
+@when("howrah and a voter miss a promotion in durgapur")
+def miss_promotion(context):
+    world = context.world
+    network = world.network
+    leader, voter = "ladder-1-durgapur", "ladder-1-salt-lake"
+    here = [n for n in world.cores if network.place[n] == "howrah"]
+    others = [n for n in world.cores if n not in here]
+    for name in others:
+        network.cut(voter, name)
+        for near in here:
+            network.cut(near, name)
+    for name in (voter, *here):
+        network.cut(leader, name)
+    promote = world.cores["durgapur-1"].promotions.promote
+    view = system.run(context, promote("ladder-1", "operator", leader))
+    requests.expect(view.primary, matchers.Equals(leader))
+
+
+@then("the read did not miss {result}")
+def check_not_missed(context, result):
+    reply = context.answers["read"].reply
+    if reply.outcome is messages.Outcome.DONE:
+        rows = [row[0] for row in reply.results[0].rows]
+        requests.expect(rows, matchers.Contains(result))
--- a/tests/support/history.py
+++ b/tests/support/history.py
@@ -12,7 +12,10 @@
 
 INSERT = "INSERT INTO results VALUES ($1, $2, $3)"
 SELECT = "SELECT id FROM results WHERE player = $1"
+SELECT_ALL = "SELECT id FROM results"
 LONGEST_PAUSE_S = 0.1
+# Part of the reads that come without a session.
+LATEST_SHARE = 0.3
 TRIES = 3
 
 
@@ -40,15 +43,18 @@
         self.writes = []
         self.wrong = []
         self.cut = 0
+        self.accepted = set()
 
     def record_write(self, caller, result, outcome):
         """Record the outcome of a write."""
         self.writes.append(Event(caller, result, outcome))
+        if outcome == "done":
+            self.accepted.add(result)
 
     def record_read(self, caller, seen, expected):
-        """Check that a read shows the session's own writes."""
+        """Check that a read shows what it has to."""
         for result in sorted(expected - seen):
-            self.wrong.append(f"{caller} does not see its own {result}")
+            self.wrong.append(f"{caller} does not see {result}")
 
     def outcomes(self, outcome):
         """Return how many writes had an outcome."""
@@ -93,7 +99,10 @@
         loop = asyncio.get_running_loop()
         while loop.time() < end:
             await self._write()
-            await self._read()
+            if self._rng.random() < LATEST_SHARE:
+                await self._read_latest()
+            else:
+                await self._read()
             await asyncio.sleep(self._rng.uniform(0, LONGEST_PAUSE_S))
 
     async def _write(self):
@@ -114,6 +123,18 @@
         seen = {row[0] for row in answer.reply.results[0].rows}
         self._checker.record_read(self.name, seen, self._accepted)
 
+    async def _read_latest(self):
+        """Read without a session: whatever was accepted has to be seen."""
+        token, self._token = self._token, ""
+        expected = set(self._checker.accepted)
+        statement = messages.Statement(SELECT_ALL)
+        answer = await self._send("standing", statement, "")
+        self._token = token
+        if answer is None or answer.reply.outcome != "done":
+            return
+        seen = {row[0] for row in answer.reply.results[0].rows}
+        self._checker.record_read(self.name, seen, expected)
+
     async def _send(self, work_class, statement, request_id):
         """Send a request, again under its identifier after a lost answer.
 
