News of a stop leaves before the instance does, and does not outlive its return

Causes, found by reading and a scenario: an idle instance ended before its push of the stop had left; and every instance repeated the stops that it had heard of, so that a rumour could come back after the return. Only the instance itself and the tree of its push tell now, and a start is pushed as well. The daemon says in one line why it can not run.

--- a/balsamhinge/controllers/members.py
+++ b/balsamhinge/controllers/members.py
@@ -83,9 +83,11 @@
             self._leaving |= known
             self.change.announce()
 
-    def learn_returned(self, name):
-        """Take note that an instance serves again."""
-        self._leaving.discard(name)
+    def learn_returned(self, names):
+        """Take note that instances serve again."""
+        for name in names:
+            self._leaving.discard(name)
+            self.record_answer(name)
 
     def get(self, name):
         """Return a member by its name, or None."""
--- a/balsamhinge/controllers/spreading.py
+++ b/balsamhinge/controllers/spreading.py
@@ -68,12 +68,13 @@
 
     def summary(self, **fields):
         """Return an `Exchange` with what this instance holds."""
+        me = self._members.me
         return links.Exchange(
-            sender=self._members.me.name,
+            sender=me.name,
             version=self._configuration.version,
             list_version=self._members.version,
             retired=sorted(self._groups.retired),
-            leaving=self._members.leaving,
+            leaving=[me.name] if me.leaving else [],
             **fields,
         )
 
@@ -86,6 +87,21 @@
         platform_list = self._members.platform_list()
         self._push(self.summary(platform_list=platform_list, scope=scope))
 
+    def publish_return(self):
+        """Tell every instance that this one serves."""
+        self._push(self.summary(returned=[self._members.me.name]))
+
+    async def announce_stop(self):
+        """Tell of this instance's stop, and wait until that has left.
+
+        An instance without work ends at once, and its news with it.
+        """
+        try:
+            async with asyncio.timeout(EXCHANGE_TIMEOUT_S):
+                await self._pass_on(self.summary())
+        except TimeoutError:
+            event(log.warning, "stop_not_announced_everywhere")
+
     def publish_views(self, changed):
         """Push changed views to every instance."""
         self._push(self.summary(views=changed))
@@ -142,9 +158,11 @@
     async def receive(self, message):
         """Take another instance's message and return the answer."""
         self._members.record_answer(message.sender)
-        changed = self.absorb(message)
+        self.absorb(message)
         if not message.digests:
-            if message.first and changed:
+            # The ranges of a push get shorter with each step, so that it
+            # ends, also where it brings nothing new.
+            if message.first:
                 self._push(message)
             return self.summary()
         return self._difference(message)
@@ -169,24 +187,19 @@
         return self.summary(digests=digests, **fields)
 
     def absorb(self, message):
-        """Take whatever is newer; return whether anything was."""
+        """Take whatever is newer."""
         self.versions[message.sender] = message.version
-        changed = False
         if message.text is not None:
-            changed |= self._configuration.learn(message.version, message.text)
+            self._configuration.learn(message.version, message.text)
         if message.platform_list is not None:
-            changed |= self._members.learn(
-                message.list_version, message.platform_list
-            )
+            self._members.learn(message.list_version, message.platform_list)
         for view in message.views:
-            changed |= self._groups.learn(view)
-        if not set(message.leaving) <= set(self._members.leaving):
-            changed = True
+            self._groups.learn(view)
         self._groups.learn_retired(message.retired)
         self._members.learn_leaving(message.leaving)
+        self._members.learn_returned(message.returned)
         if message.sender not in message.leaving:
-            self._members.learn_returned(message.sender)
-        return changed
+            self._members.learn_returned([message.sender])
 
     async def _exchange_forever(self):
         while True:
--- a/balsamhinge/core.py
+++ b/balsamhinge/core.py
@@ -129,6 +129,7 @@
         self.spreading.start()
         self.transactions.start()
         await self._catch_up()
+        self.spreading.publish_return()
         self.watching.start()
         self.retention.start()
         self.spawn(clock.run_forever(self._close_foreign, FOREIGN_S))
@@ -163,7 +164,7 @@
         """
         self.stopping = True
         self.members.set_leaving()
-        self.spreading.publish_views([])
+        await self.spreading.announce_stop()
         deadline = clock.now() + patience_s
         while self.in_flight or len(self.transactions):
             if clock.now() >= deadline:
--- a/balsamhinge/daemon.py
+++ b/balsamhinge/daemon.py
@@ -21,6 +21,7 @@
 
 __all__ = ["Daemon", "main"]
 
+FAILED = 1
 BAD_SETTINGS = 2
 
 log = logbook.Logger(__name__)
@@ -125,7 +126,11 @@
     if args.check:
         return 0
     logs.set_up(settings.log_level)
-    asyncio.run(run_daemon(settings))
+    try:
+        asyncio.run(run_daemon(settings))
+    except (exceptions.BalsamhingeError, OSError, RuntimeError) as exc:
+        print(f"cannot run: {exc}", file=sys.stderr)
+        return FAILED
     return 0
 
 
--- a/balsamhinge/links.py
+++ b/balsamhinge/links.py
@@ -105,8 +105,10 @@
         Views that the receiver may lack.
     retired : list of str
         Targets that are fenced for good.
-    leaving : list of str
-        Instances that told of their stop.
+    leaving, returned : list of str
+        Instances that tell of their stop, or of a new start. Nobody
+        repeats this of others but along the tree of a push, because a
+        rumour of a stop would outlive the return.
     first, last : str
         Range of names that the receiver passes a push on to.
     scope : str
@@ -122,6 +124,7 @@
     views: list[group_views.GroupView] = attrs.Factory(list)
     retired: list[str] = attrs.Factory(list)
     leaving: list[str] = attrs.Factory(list)
+    returned: list[str] = attrs.Factory(list)
     first: str = ""
     last: str = ""
     scope: str = ""
--- a/tests/features/steps/promises.py
+++ b/tests/features/steps/promises.py
@@ -460,3 +460,23 @@
     if reply.outcome is messages.Outcome.DONE:
         rows = [row[0] for row in reply.results[0].rows]
         requests.expect(rows, matchers.Contains(result))
+
+
+def takers_as_leaving(context, name):
+    """Return the other instances that take one as leaving."""
+    return [
+        core.name
+        for core in context.world.cores.values()
+        if core.name != name and name in core.members.leaving
+    ]
+
+
+@then("every instance takes {name} as leaving")
+def check_all_know(context, name):
+    others = [n for n in context.world.cores if n != name]
+    requests.expect(takers_as_leaving(context, name), matchers.Equals(others))
+
+
+@then("no instance takes {name} as leaving")
+def check_none_believes(context, name):
+    requests.expect(takers_as_leaving(context, name), matchers.Equals([]))
--- a/tests/features/stop.feature
+++ b/tests/features/stop.feature
@@ -38,3 +38,13 @@
     Then commit is answered done
     When the results are read at durgapur-1
     Then the read shows r1
+
+  Scenario: an instance that stopped and returned is used again
+    Given a system with 2 instances in each data centre
+    When the instance howrah-1 is stopped gracefully
+    Then every instance takes howrah-1 as leaving
+    When the instance howrah-1 starts again with nothing
+    And 0.1 seconds pass
+    Then no instance takes howrah-1 as leaving
+    When 5 seconds pass
+    Then no instance takes howrah-1 as leaving
