--- a/balsamhinge/api/__init__.py
+++ b/balsamhinge/api/__init__.py
@@ -1,1 +1,1 @@
-""""""
+"""HTTP for callers and operators."""
--- a/balsamhinge/controllers/__init__.py
+++ b/balsamhinge/controllers/__init__.py
@@ -1,1 +1,1 @@
-""""""
+"""State of one instance, all on its loop."""
--- a/balsamhinge/filters/__init__.py
+++ b/balsamhinge/filters/__init__.py
@@ -1,1 +1,1 @@
-""""""
+"""The chains that a request passes."""
--- a/balsamhinge/peers/__init__.py
+++ b/balsamhinge/peers/__init__.py
@@ -1,1 +1,1 @@
-""""""
+"""Calls between instances by gRPC."""
--- a/balsamhinge/platform/__init__.py
+++ b/balsamhinge/platform/__init__.py
@@ -1,1 +1,1 @@
-""""""
+"""The platform's object store."""
--- a/balsamhinge/targets/__init__.py
+++ b/balsamhinge/targets/__init__.py
@@ -1,1 +1,1 @@
-""""""
+"""Connections to database targets."""
