--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -5,6 +5,7 @@
 import pathlib
 import signal
 import socket
+import ssl
 import subprocess
 import sys
 import tempfile
@@ -14,7 +15,7 @@
 
 from bench import shapes
 
-__all__ = ["Cluster"]
+__all__ = ["Cluster", "TlsFiles"]
 
 HOST = "127.0.0.1"
 START_S = 30.0
@@ -36,6 +37,15 @@
     return ports
 
 
+@attrs.frozen
+class TlsFiles:
+    """Paths of PEM files that every instance uses."""
+
+    certificate: str
+    key: str
+    authority: str
+
+
 @attrs.define
 class Instance:
     """An entry instance's places."""
@@ -44,11 +54,12 @@
     centre: str
     peer_port: int
     port: int
+    scheme: str
 
     @property
     def url(self):
         """Return where callers reach it."""
-        return f"http://{HOST}:{self.port}"
+        return f"{self.scheme}://{HOST}:{self.port}"
 
     @property
     def word(self):
@@ -67,10 +78,13 @@
         Whether instances run the simplest policy.
     seed : int
         Seed of the instances' random choices.
+    tls : TlsFiles, optional
+        For callers and between instances; without it there is no TLS.
     """
 
-    def __init__(self, shape, baseline=False, seed=0):
+    def __init__(self, shape, baseline=False, seed=0, tls=None):
         self.shape = shape
+        self.tls = tls
         self.baseline = baseline
         self.seed = seed
         self.processes = {}
@@ -80,17 +94,30 @@
         self.client = httpx.AsyncClient(
             headers={"Authorization": f"Bearer {CALLER_TOKEN}"},
             trust_env=False,
+            verify=self._verification(),
             limits=httpx.Limits(max_connections=None),
         )
 
+    def _verification(self):
+        if self.tls is None:
+            return False
+        return ssl.create_default_context(cafile=self.tls.authority)
+
+    def _tls_settings(self):
+        if self.tls is None:
+            return "tls = off"
+        files = attrs.asdict(self.tls).items()
+        return "\n".join(["tls = on", *(f"{k} = {v}" for k, v in files)])
+
     def _place(self):
         shape = self.shape
+        scheme = "https" if self.tls else "http"
         centres = shape.centres
         count = len(centres) * shape.instances_per_centre
         ports = iter(free_ports(1 + 2 * count + shape.groups * len(centres)))
         self.platform_port = next(ports)
         self.instances = [
-            Instance(f"{centre}-{n}", centre, next(ports), next(ports))
+            Instance(f"{centre}-{n}", centre, next(ports), next(ports), scheme)
             for n in range(1, shape.instances_per_centre + 1)
             for centre in centres
         ]
@@ -177,6 +204,8 @@
     def _settings(self, instance):
         seeds = ", ".join(one.word for one in self.instances)
         baseline = "yes" if self.baseline else "no"
+        tls = self._tls_settings()
+        callers_tls = tls.partition("\nauthority")[0]
         return f"""
 [instance]
 name = {instance.name}
@@ -187,13 +216,13 @@
 [callers]
 address = {HOST}:{instance.port}
 token = {CALLER_TOKEN}
-tls = off
+{callers_tls}
 [operators]
 token = {OPERATOR_TOKEN}
 [peers]
 address = {HOST}:{instance.peer_port}
 secret = {SECRET}
-tls = off
+{tls}
 [platform]
 url = http://{HOST}:{self.platform_port}
 [targets]
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -1,9 +1,13 @@
 """Tests with real processes that are killed, frozen and stopped."""
 
 import asyncio
+import pathlib
+import shutil
 import signal
+import tempfile
 
 import testtools
+import trustme
 
 from bench import cluster as cluster_module
 from bench import shapes
@@ -28,13 +32,15 @@
 
 
 class ProcessesTest(testtools.TestCase):
-    """One Howrah goes through several failures."""
+    """One Howrah, with TLS, goes through several failures."""
 
     def test_failures(self):
         real.run_real(self.play())
 
     async def play(self):
-        self.cluster = cluster_module.Cluster(shapes.HOWRAH)
+        self.cluster = cluster_module.Cluster(
+            shapes.HOWRAH, tls=self.make_files()
+        )
         try:
             await self.cluster.start()
             body = {"class": "submit", "sql": CREATE}
@@ -46,6 +52,18 @@
         finally:
             await self.cluster.stop()
 
+    def make_files(self):
+        """Return TLS files of an authority of this test's own."""
+        folder = pathlib.Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, folder)
+        authority = trustme.CA()
+        issued = authority.issue_cert(real.HOST)
+        paths = [folder / name for name in ("cert", "key", "authority")]
+        issued.cert_chain_pems[0].write_to_path(paths[0])
+        issued.private_key_pem.write_to_path(paths[1])
+        authority.cert_pem.write_to_path(paths[2])
+        return cluster_module.TlsFiles(*map(str, paths))
+
     async def post(self, number, body, service="ladder-1"):
         instance = self.cluster.instances[number]
         _code, answer = await self.cluster.post(instance, service, body)
