A text that one release refuses does not make its sender look silent

Cause: findings of a pushed text were raised into the call, so that the sender took the receiver for silent; from the store they ended the start. They are logged now and the text in force stays. The scenario errs without the change.

--- a/balsamhinge/controllers/configuration.py
+++ b/balsamhinge/controllers/configuration.py
@@ -15,7 +15,7 @@
 from balsamhinge import links
 from balsamhinge.logs import event
 
-__all__ = ["Applied", "ConfigurationController"]
+__all__ = ["Applied", "ConfigurationController", "decode_text"]
 
 SETTLE_ATTEMPTS = 3
 HISTORY_LENGTH = 20
--- a/balsamhinge/controllers/spreading.py
+++ b/balsamhinge/controllers/spreading.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from balsamhinge.controllers import clock
+from balsamhinge.controllers import configuration
 from balsamhinge import exceptions
 from balsamhinge import links
 from balsamhinge.logs import event
@@ -35,15 +36,17 @@
     ----------
     links_ : Links
         The store and the peers.
-    configuration, members, groups : controllers
-        What is spread.
+    text : ConfigurationController
+        The operators' text, which is spread.
+    members, groups : controllers
+        What else is spread.
     rng : random.Random
         Chooses peers and jitter.
     """
 
-    def __init__(self, links_, configuration, members, groups, rng):
+    def __init__(self, links_, text, members, groups, rng):
         self._links = links_
-        self._configuration = configuration
+        self._configuration = text
         self._members = members
         self._groups = groups
         self._rng = rng
@@ -190,7 +193,7 @@
         """Take whatever is newer."""
         self.versions[message.sender] = message.version
         if message.text is not None:
-            self._configuration.learn(message.version, message.text)
+            self._learn_text(message.version, message.text)
         if message.platform_list is not None:
             self._members.learn(message.list_version, message.platform_list)
         for view in message.views:
@@ -243,11 +246,23 @@
                 take(stored)
 
     def _take_text(self, stored):
+        text = configuration.decode_text(stored)
+        if self._learn_text(stored.version, text):
+            self.publish_text(self._members.me.data_centre)
+
+    def _learn_text(self, version, text):
+        """Put a text in force; keep the one in force if it has findings.
+
+        An accepted text has none, but an instance of another release may
+        check more or less.
+        """
         try:
-            if self._configuration.learn_stored(stored):
-                self.publish_text(self._members.me.data_centre)
+            return self._configuration.learn(version, text)
         except exceptions.ConfigurationError as exc:
-            event(log.error, "stored_configuration_refused", error=exc)
+            event(
+                log.error, "configuration_refused", version=version, error=exc
+            )
+            return False
 
     def _take_members(self, stored):
         found = msgspec.json.decode(stored.value, type=links.PlatformList)
--- a/balsamhinge/core.py
+++ b/balsamhinge/core.py
@@ -150,6 +150,8 @@
             self.configuration.learn_stored(stored)
         except (TimeoutError, exceptions.StoreUnavailable) as exc:
             event(log.warning, "store_unavailable_at_start", error=exc)
+        except exceptions.ConfigurationError as exc:
+            event(log.error, "configuration_refused", error=exc)
         others = self.members.others()
         chosen = self.rng.sample(others, min(CATCH_UP_PEERS, len(others)))
         await self.spreading.catch_up(chosen)
--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -89,3 +89,11 @@
     And 3 seconds pass
     Then the edit is refused with a finding in line 1 from the end
     And no instance has a version above 1
+
+  Scenario: an instance meets a text that its release does not accept
+    Given a system with 2 instances in each data centre
+    When an instance pushes a text with a finding to howrah-2
+    And 1 seconds pass
+    Then the instance howrah-2 has version 1 in force
+    When an operator adds class extra at howrah-1
+    Then within 3 seconds it is in force on every instance
--- a/tests/features/steps/promises.py
+++ b/tests/features/steps/promises.py
@@ -480,3 +480,11 @@
 @then("no instance takes {name} as leaving")
 def check_none_believes(context, name):
     requests.expect(takers_as_leaving(context, name), matchers.Equals([]))
+
+
+@when("an instance pushes a text with a finding to {name}")
+def push_wrong(context, name):
+    text = links.TextVersion("[class bad]\nkind = sideways\n", "bad", "x")
+    message = links.Exchange("howrah-1", version=2, text=text)
+    core = context.world.cores[name]
+    system.run(context, core.spreading.receive(message))
