One list of a group's watchers; a step that no scenario used is gone

Place in line and the question for the primary worked the same list out twice. Read once more: the other pairs that stand twice are imports and constructors.

--- a/balsamhinge/controllers/watching.py
+++ b/balsamhinge/controllers/watching.py
@@ -217,7 +217,7 @@
             # time before this one tries again.
             highest = max(status.term for status in statuses)
             began = since.setdefault((wish, highest), clock.now())
-            place = self._place(group, names)
+            place = self._place(group)
             wait_s = promotion.stagger_s(place, self._core.rng)
             if wish != "suspected":
                 wait_s += place * PLANNED_STEP_S
@@ -256,17 +256,20 @@
             return "voters"
         return None
 
-    def _place(self, group, names):
-        """Return this instance's place among the group's watchers."""
+    def _watchers(self, group):
+        """Return the first home of each of a group's targets, by name."""
         plan = self._core.configuration.plan
         watchers = {}
-        for name in names:
-            target = plan.targets.get(name)
-            if target is None:
-                continue
-            for member in self._core.members.homes(target)[:1]:
+        if group not in plan.groups:
+            return watchers
+        for name in plan.groups[group].targets:
+            for member in self._core.members.homes(plan.targets[name])[:1]:
                 watchers[member.name] = member
-        order = homes.rank(watchers.values(), group)
+        return watchers
+
+    def _place(self, group):
+        """Return this instance's place among the group's watchers."""
+        order = homes.rank(self._watchers(group).values(), group)
         me = self._core.members.me.name
         ranked = [member.name for member in order]
         return ranked.index(me) if me in ranked else len(ranked)
@@ -278,11 +281,7 @@
 
     async def _seen_by_others(self, group):
         """Return whether another watcher hears the primary."""
-        plan = self._core.configuration.plan
-        asked = {}
-        for name in plan.groups[group].targets:
-            for member in self._core.members.homes(plan.targets[name])[:1]:
-                asked[member.name] = member
+        asked = self._watchers(group)
         asked.pop(self._core.members.me.name, None)
         answers = await asyncio.gather(
             *(self._ask_sight(member, group) for member in asked.values())
--- a/tests/features/steps/promises.py
+++ b/tests/features/steps/promises.py
@@ -66,11 +66,6 @@
     do_step(context, messages.Step.ROLLBACK, "rollback", instance)
 
 
-@when("the next answer from {source} to {receiver} is lost")
-def lose_answer(context, source, receiver):
-    context.world.network.lose_answer(receiver, source)
-
-
 @when("the owner of the transaction is killed")
 def kill_owner(context):
     owner = context.transaction.rpartition(".")[0]
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -23,7 +23,6 @@
         self.cuts = set()
         self.frozen = set()
         self.dead = set()
-        self.lost_answers = {}
         self.lost_commits = set()
         self.connections = []
         self.changed = asyncio.Event()
@@ -60,11 +59,6 @@
                 break_connection()
         self._change()
 
-    def lose_answer(self, src, dst):
-        """Lose the next answer from `dst` to `src`."""
-        key = (src, dst)
-        self.lost_answers[key] = self.lost_answers.get(key, 0) + 1
-
     def lose_commit_answer(self, src, dst):
         """Lose the answer to the next commit from `src` at `dst`."""
         self.lost_commits.add((src, dst))
@@ -97,9 +91,6 @@
 
     async def answer(self, src, dst):
         """Take an answer back from `dst` to `src`."""
-        if self.lost_answers.get((src, dst)):
-            self.lost_answers[(src, dst)] -= 1
-            raise ConnectionResetError(dst)
         await self.travel(dst, src)
 
 
