Tests of a fleet on the virtual clock; a starting instance leaves the duty alone

Cause: an instance that had just started had heard nobody, ranked itself first and took the duty; an early failover then waited 3 s for the handover (3.4 s from the primary's silence to the next write, on the virtual clock). Entries that vanished while the store was away from the targets were dropped at once where only a waiting watch was open. Ruled out: handing over without the wait.

--- a/balsamhinge/controllers/directory.py
+++ b/balsamhinge/controllers/directory.py
@@ -37,20 +37,19 @@
         Where they lie.
     kind : str
         Which.
+    health : StoreHealth
+        Is told how calls end.
     changed : callable
-        Called with the records by name after each change.
+        Called with the follower after each change.
     """
 
-    def __init__(self, store, kind, changed):
+    def __init__(self, store, kind, health, changed):
         self._store = store
+        self._health = health
         self._kind = kind
         self._changed = changed
         self._as_of = None
-        self._failing = False
         self.records = {}
-        self.returned_at = float("-inf")
-        self.answered_at = float("-inf")
-        self._news = asyncio.Event()
 
     async def run(self, rng):
         """Follow for ever."""
@@ -64,13 +63,13 @@
                 event(log.info, "history_gone", kind=self._kind)
                 self._as_of = None
             except exceptions.StoreUnavailable as exc:
-                self._failed(exc)
+                self._health.failed(exc)
                 await clock.pause(RETRY_S * rng.uniform(0.7, 1.3))
 
     async def read(self):
         """Read all records now."""
         listing = await self._store.list(self._kind)
-        self._answered()
+        self._health.answered()
         self._take(listing.records, listing.as_of)
 
     def _take(self, records, as_of):
@@ -81,7 +80,7 @@
     async def _watch(self):
         wait_s = WATCH_S
         changes = await self._store.watch(self._kind, self._as_of, wait_s)
-        self._answered()
+        self._health.answered()
         records = dict(self.records)
         for change in changes.changes:
             name = change.record.name
@@ -96,18 +95,6 @@
         if changes.changes:
             self._take(records, self._as_of)
 
-    def _answered(self):
-        self.answered_at = clock.now()
-        if self._failing:
-            self._failing = False
-            self.returned_at = clock.now()
-            event(log.notice, "store_regained", kind=self._kind)
-
-    def _failed(self, exc):
-        if not self._failing:
-            self._failing = True
-            event(log.warning, "store_lost", kind=self._kind, error=exc)
-
 
 @attrs.define
 class _Missing:
@@ -124,21 +111,28 @@
     ----------
     store : RecordStore
         The platform's store.
+    health : StoreHealth
+        Whether it answers.
     seed : object
         Seed of the pauses between failed calls.
     """
 
-    def __init__(self, store, seed):
+    def __init__(self, store, health, seed):
         self._rng = random.Random(f"directory/{seed}")
+        self._health = health
         self.table = routes.RoutingTable()
         self.table_at = 0.0
         self.targets = {}
         self.members = {}
         self._missing = {}
         self.table_changed = asyncio.Event()
-        self.routes = Follower(store, links.ROUTES, self._take_routes)
-        self.entries = Follower(store, links.TARGETS, self._take_targets)
-        self.registry = Follower(store, links.MEMBERS, self._take_members)
+        self.routes = Follower(store, links.ROUTES, health, self._take_routes)
+        self.entries = Follower(
+            store, links.TARGETS, health, self._take_targets
+        )
+        self.registry = Follower(
+            store, links.MEMBERS, health, self._take_members
+        )
 
     def runners(self):
         """Return the coroutines that follow the store."""
@@ -175,16 +169,11 @@
         for name, target in self.targets.items():
             if name in found or name in self._missing:
                 continue
-            until = now
-            if now - follower.returned_at < RETURN_S:
-                until = follower.returned_at + RETURN_S
-            self._missing[name] = _Missing(target, until)
-            event(
-                log.notice,
-                "target_entry_gone",
-                target=name,
-                kept_s=until - now,
-            )
+            # One that has said so leaves; another may have expired while
+            # the store was away from it.
+            kept_s = 0.0 if target.leaving else RETURN_S
+            self._missing[name] = _Missing(target, now + kept_s)
+            event(log.notice, "target_entry_gone", target=name, kept_s=kept_s)
         self._missing = {
             name: missing
             for name, missing in self._missing.items()
@@ -212,8 +201,11 @@
     def sweep(self):
         """Forget entries that have not come back in time."""
         now = clock.now()
+        if self._health.failing:
+            return
+        since = self._health.returned_at + RETURN_S
         for name, missing in list(self._missing.items()):
-            if now >= missing.until:
+            if now >= max(since, missing.until):
                 del self._missing[name]
                 self.targets.pop(name, None)
 
--- a/balsamhinge/controllers/duty.py
+++ b/balsamhinge/controllers/duty.py
@@ -29,6 +29,9 @@
 # one's last call has been given up.
 HANDOVER_S = 3.0
 RETRY_S = 0.2
+# An instance that has just started has not heard the others yet: three
+# rounds of notes have to pass before it judges who is silent.
+SETTLE_S = 1.5
 
 log = logbook.Logger(__name__)
 
@@ -128,8 +131,10 @@
         if self.held or self._fleet.stopping or not self._fleet.registered:
             return False
         gossip = self._fleet.gossip
-        if self.holder and self.holder in gossip.live():
-            return False
+        if self.holder:
+            running_s = clock.now() - self._fleet.started_at
+            if running_s < SETTLE_S or self.holder in gossip.live():
+                return False
         return self._rank() == 0
 
     async def _take(self):
--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -133,7 +133,7 @@
             promise_s=fleet.duty.promise_s(),
             leaving=fleet.stopping,
             holder=fleet.duty.holder,
-            store_silent_s=clock.now() - leaders.store_answered_at,
+            store_silent_s=fleet.store_health.silent_s,
         )
 
     def receive(self, note):
--- a/balsamhinge/controllers/leaders.py
+++ b/balsamhinge/controllers/leaders.py
@@ -32,6 +32,8 @@
     ----------
     store : RecordStore
         The platform's store.
+    health : StoreHealth
+        Whether it answers.
     directory : DirectoryController
         Knows the registered instances.
     me : Member
@@ -40,8 +42,9 @@
         See `FleetLinks`.
     """
 
-    def __init__(self, store, directory, me, boot_time):
+    def __init__(self, store, health, directory, me, boot_time):
         self.store = store
+        self._health = health
         self._directory = directory
         self._me = me
         self.boot_time = boot_time
@@ -50,7 +53,6 @@
         self.left = {}
         self.duty = None
         self.duty_read_at = float("-inf")
-        self.store_answered_at = clock.now()
         self._changed = asyncio.Event()
         self._in_use = {}
         self._grace = {}
@@ -236,8 +238,12 @@
     async def read(self):
         """Read all primaries and the duty from the store now."""
         asked_at = self.boot_time()
-        listing = await self.store.list(links.LEADERS)
-        self.store_answered_at = clock.now()
+        try:
+            listing = await self.store.list(links.LEADERS)
+        except exceptions.StoreUnavailable as exc:
+            self._health.failed(exc)
+            raise
+        self._health.answered()
         for record in listing.records.values():
             if record.name.startswith(GROUP_PREFIX):
                 self.learn(leadership_of(record), "store")
--- a/balsamhinge/fleet.py
+++ b/balsamhinge/fleet.py
@@ -14,6 +14,7 @@
 from balsamhinge.controllers import leaders
 from balsamhinge.controllers import lending
 from balsamhinge.controllers import sampling
+from balsamhinge.controllers import storehealth
 from balsamhinge import exceptions
 from balsamhinge import links
 from balsamhinge.logs import event
@@ -46,15 +47,20 @@
         self.me = me
         self.links = links_
         self.rng = random.Random(f"{seed}/{me.name}")
+        self.store_health = storehealth.StoreHealth()
         self.directory = directory.DirectoryController(
-            links_.store, f"{seed}/{me.name}"
+            links_.store, self.store_health, f"{seed}/{me.name}"
         )
         self.health = health.HealthController()
         self.lending = lending.LendingController(
             links_.targets, self.health, self.directory
         )
         self.leaders = leaders.LeadersController(
-            links_.store, self.directory, me, links_.boot_time
+            links_.store,
+            self.store_health,
+            self.directory,
+            me,
+            links_.boot_time,
         )
         self.gossip = gossip.GossipController(self)
         self.sampling = sampling.SamplingController(self)
--- a/balsamhinge/platform/daemon.py
+++ b/balsamhinge/platform/daemon.py
@@ -70,11 +70,15 @@
             lambda: self.fleet.ready, metrics.render
         )
 
+    def request_stop(self):
+        """Begin a graceful stop; a second request changes nothing."""
+        self._stop.set()
+
     async def run(self):
         """Serve until a stop is requested, then stop gracefully."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop.set)
+            loop.add_signal_handler(number, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._notes.start(self._settings.member.address)
         self.fleet.start()
@@ -100,6 +104,8 @@
         self._readiness.stop()
         await self.fleet.halt()
         await self._notes.stop()
+        await self._peers.close()
+        self._store.close()
         logs.event(log.notice, "stopped", seconds=time.monotonic() - begun)
 
 
--- a/balsamhinge/policy/succession.py
+++ b/balsamhinge/policy/succession.py
@@ -15,9 +15,10 @@
 # ... while no other instance has heard it for so long, as told by notes
 # that come each 0.4 s.
 HEARD_S = 0.9
-# A primary whose entry is gone but which answers is kept so long: its
-# entry often returns, and work may go to it for 7 s in all.
-GONE_HEARD_S = 4.0
+# A primary whose entry is gone but which answers is kept so long, beyond
+# the 2 s for which any entry is kept: it often returns, and work may go
+# to it for 7 s in all.
+GONE_HEARD_S = 2.5
 
 
 class Verdict(enum.StrEnum):
--- /dev/null
+++ b/balsamhinge/standins/records.py
@@ -0,0 +1,180 @@
+"""A stand-in for the platform's store of records, and its promotions."""
+
+import asyncio
+
+import attrs
+
+from balsamhinge import exceptions
+from balsamhinge import links
+
+__all__ = ["RecordLink", "Records", "RecordsKnobs"]
+
+# Changes that a watch may still ask for.
+HISTORY = 1000
+
+
+@attrs.define
+class RecordsKnobs:
+    """What a test changes while the store runs.
+
+    Parameters
+    ----------
+    latency_s : float
+        Seconds that each call takes.
+    down : bool
+        Whether every call is refused.
+    cut : set of str
+        Instances that the store does not answer.
+    lose_answers : int
+        How many of the next changes are made and not answered.
+    silent_watches : bool
+        Whether watches hear nothing.
+    """
+
+    latency_s: float = 0.004
+    down: bool = False
+    cut: set = attrs.Factory(set)
+    lose_answers: int = 0
+    silent_watches: bool = False
+
+
+class Records:
+    """Records with revisions and watches, in memory."""
+
+    def __init__(self):
+        self.knobs = RecordsKnobs()
+        self.revision = 1
+        self.kinds = {}
+        self._history = []
+        self._changed = asyncio.Event()
+        self.calls = 0
+
+    def link(self, instance):
+        """Return what an instance uses to call the store."""
+        return RecordLink(self, instance)
+
+    def put(self, kind, name, value):
+        """Write a record as the platform itself does."""
+        self.revision += 1
+        record = links.Record(name, self.revision, value)
+        self.kinds.setdefault(kind, {})[name] = record
+        self._note(kind, links.Change(record, False))
+        return record
+
+    def drop(self, kind, name):
+        """Delete a record as the platform itself does."""
+        record = self.kinds.get(kind, {}).pop(name, None)
+        if record is None:
+            return
+        self.revision += 1
+        gone = attrs.evolve(record, revision=self.revision)
+        self._note(kind, links.Change(gone, True))
+
+    def forget_history(self):
+        """Make every later watch of earlier changes fail."""
+        self._history = [(self.revision, None, None)]
+        self._wake()
+
+    def _note(self, kind, change):
+        self._history.append((self.revision, kind, change))
+        self._history = self._history[-HISTORY:]
+        self._wake()
+
+    def _wake(self):
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    def since(self, kind, after):
+        """Return the changes of a kind after a revision."""
+        first = self._history[0] if self._history else None
+        if first and first[2] is None and after < first[0]:
+            raise exceptions.HistoryGone(kind)
+        if self.knobs.silent_watches:
+            return []
+        return [
+            change
+            for revision, of_kind, change in self._history
+            if revision > after and of_kind == kind
+        ]
+
+    async def changed(self, timeout_s):
+        """Wait for any change."""
+        changed = self._changed
+        try:
+            async with asyncio.timeout(timeout_s):
+                await changed.wait()
+        except TimeoutError:
+            return
+
+
+class RecordLink(links.RecordStore):
+    """One instance's calls to `Records`."""
+
+    def __init__(self, records, instance):
+        self._records = records
+        self._instance = instance
+
+    async def _reach(self):
+        knobs = self._records.knobs
+        self._records.calls += 1
+        await asyncio.sleep(knobs.latency_s)
+        if self._instance in knobs.cut:
+            await asyncio.sleep(1.0)
+            raise exceptions.StoreUnavailable("no answer")
+        if knobs.down:
+            raise exceptions.StoreUnavailable("status 503")
+
+    async def list(self, kind):
+        """See `RecordStore.list`."""
+        await self._reach()
+        found = dict(self._records.kinds.get(kind, {}))
+        return links.Listing(found, self._records.revision)
+
+    async def watch(self, kind, after, wait_s):
+        """See `RecordStore.watch`."""
+        await self._reach()
+        loop = asyncio.get_running_loop()
+        until = loop.time() + wait_s
+        while True:
+            changes = self._records.since(kind, after)
+            if changes or loop.time() >= until:
+                break
+            await self._records.changed(until - loop.time())
+        await self._reach()
+        return links.Changes(changes, self._records.revision)
+
+    def _held(self, kind, name):
+        return self._records.kinds.get(kind, {}).get(name)
+
+    def _answer(self, record):
+        knobs = self._records.knobs
+        if knobs.lose_answers:
+            knobs.lose_answers -= 1
+            raise exceptions.StoreUnavailable("the answer was lost")
+        return record
+
+    async def create(self, kind, name, value):
+        """See `RecordStore.create`."""
+        await self._reach()
+        if self._held(kind, name) is not None:
+            raise exceptions.StoreConflict(name)
+        return self._answer(self._records.put(kind, name, value))
+
+    async def replace(self, kind, name, value, revision):
+        """See `RecordStore.replace`."""
+        await self._reach()
+        self._check(kind, name, revision)
+        return self._answer(self._records.put(kind, name, value))
+
+    async def delete(self, kind, name, revision):
+        """See `RecordStore.delete`."""
+        await self._reach()
+        self._check(kind, name, revision)
+        self._records.drop(kind, name)
+
+    def _check(self, kind, name, revision):
+        held = self._held(kind, name)
+        if held is None:
+            raise exceptions.RecordMissing(name)
+        if held.revision != revision:
+            raise exceptions.StoreConflict(name)
--- /dev/null
+++ b/tests/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of callers' sessions."""
--- /dev/null
+++ b/tests/sessions/test_session.py
@@ -0,0 +1,183 @@
+"""Tests of what a session answers, and what reaches the targets."""
+
+import asyncio
+
+from balsamhinge.policy import statements
+from tests.support import virtual
+
+Access = statements.Access
+Direct = statements.Direct
+Problem = statements.Problem
+State = statements.State
+
+
+class SessionTest(virtual.FleetTestCase):
+    """Sessions share connections, and nothing else."""
+
+    def test_a_session_reads_its_own_write(self):
+        async def scenario(world):
+            caller = world.caller("south-1", "fixtures")
+            for number in range(20):
+                await caller.write("a", str(number))
+                answer = await caller.read("a")
+                self.assertEqual((str(number),), answer.rows)
+
+        self.run_fleet(scenario)
+
+    def test_a_latest_read_sees_what_another_instance_wrote(self):
+        async def scenario(world):
+            writer = world.caller("south-1", "posts")
+            reader = world.caller("north-2", "posts")
+            for number in range(20):
+                await writer.write("a", str(number))
+                answer = await reader.read("a")
+                self.assertEqual((str(number),), answer.rows)
+
+        self.run_fleet(scenario)
+
+    def test_an_aged_read_is_left_to_replicas(self):
+        async def scenario(world):
+            caller = world.caller("south-1", "ranks")
+            for _number in range(20):
+                await caller.read("a")
+            targets = {run.target for run in world.group.runs}
+            self.assertNotIn("ladder-1-1", targets)
+
+        self.run_fleet(scenario)
+
+    def test_session_values_are_set_before_each_statement(self):
+        async def scenario(world):
+            callers = [world.caller("south-1", "posts") for _ in range(3)]
+            for number, caller in enumerate(callers):
+                value = str(number)
+                await caller.ask(statements.Assign("zone", value))
+                if number:
+                    await caller.ask(statements.Assign(f"v{number}", "x"))
+            for _round in range(4):
+                for number, caller in enumerate(callers):
+                    await caller.read("a")
+                    held = world.group.runs[-1].values
+                    expected = {"zone": str(number)}
+                    if number:
+                        expected[f"v{number}"] = "x"
+                    self.assertEqual(expected, held)
+
+        self.run_fleet(scenario)
+
+    def test_prepared_names_of_two_sessions_do_not_collide(self):
+        async def scenario(world):
+            first = world.caller("south-1", "posts")
+            second = world.caller("south-1", "posts")
+            await first.ask(statements.Prepare("s", Access.WRITE, "q1"))
+            await second.ask(statements.Prepare("s", Access.READ, "q2"))
+            wrote = await first.ask(statements.Execute("s", "a 7"))
+            read = await second.ask(statements.Execute("s", "a"))
+            self.assertIsNone(wrote.problem)
+            self.assertEqual(("7",), read.rows)
+            await second.ask(statements.Deallocate("s"))
+            gone = await second.ask(statements.Execute("s", "a"))
+            self.assertEqual(Problem.UNKNOWN_NAME, gone.problem)
+
+        self.run_fleet(scenario)
+
+    def test_a_transaction_stays_on_its_connection(self):
+        async def scenario(world):
+            first = world.caller("south-1", "posts")
+            second = world.caller("south-1", "posts")
+            for caller in (first, second):
+                await caller.ask(statements.Begin())
+            for number in range(3):
+                for caller in (first, second):
+                    order = Direct(Access.WRITE, f"a{number} 1")
+                    answer = await caller.ask(order)
+                    self.assertEqual(State.OPEN, answer.state)
+            done = await first.ask(statements.Commit())
+            self.assertEqual(State.IDLE, done.state)
+            self.assertEqual("s", done.signature)
+            await second.ask(statements.Rollback())
+            kept = world.group.primary.log
+            self.assertEqual(1, len(kept))
+            self.assertEqual(3, len(kept[0].writes))
+            numbers = {run.transaction for run in world.group.runs}
+            self.assertEqual(2, len(numbers - {0}))
+
+        self.run_fleet(scenario)
+
+    def test_an_empty_transaction_is_committed_by_a_target(self):
+        async def scenario(world):
+            caller = world.caller("south-1", "posts")
+            await caller.ask(statements.Begin())
+            done = await caller.ask(statements.Commit())
+            self.assertEqual("s", done.signature)
+
+        self.run_fleet(scenario)
+
+    def test_a_failed_transaction_only_ends(self):
+        async def scenario(world):
+            caller = world.caller("south-1", "posts")
+            await caller.ask(statements.Begin())
+            failed = await caller.ask(statements.Execute("none", "a"))
+            self.assertEqual(State.FAILED, failed.state)
+            again = await caller.read("a")
+            self.assertEqual(Problem.MALFORMED, again.problem)
+            ended = await caller.ask(statements.Rollback())
+            self.assertEqual(State.IDLE, ended.state)
+
+        self.run_fleet(scenario)
+
+    def test_a_lost_answer_of_a_read_is_had_elsewhere_in_time(self):
+        async def scenario(world):
+            caller = world.caller("south-1", "ranks")
+            for target in world.group.targets.values():
+                target.knobs.lose_answers = 1
+            loop = asyncio.get_running_loop()
+            begun = loop.time()
+            world.group.targets["ladder-1-1"].knobs.lose_answers = 0
+            answer = await caller.read("a")
+            self.assertIsNone(answer.problem)
+            self.assertLess(loop.time() - begun, 0.5)
+
+        self.run_fleet(scenario)
+
+    def test_a_lost_answer_of_a_write_is_in_doubt_and_not_repeated(self):
+        async def scenario(world):
+            caller = world.caller("south-1", "posts")
+            world.group.primary.knobs.lose_answers = 1
+            answer = await caller.write("a", "1")
+            self.assertEqual(Problem.IN_DOUBT, answer.problem)
+            runs = [run for run in world.group.runs if run.kind == "write"]
+            self.assertEqual(1, len(runs))
+
+        self.run_fleet(scenario)
+
+    def test_a_lost_answer_inside_a_transaction_undoes_it(self):
+        async def scenario(world):
+            caller = world.caller("south-1", "posts")
+            await caller.ask(statements.Begin())
+            await caller.ask(Direct(Access.WRITE, "a 1"))
+            world.group.primary.knobs.lose_answers = 1
+            lost = await caller.ask(Direct(Access.WRITE, "b 1"))
+            self.assertEqual(Problem.ABORTED, lost.problem)
+            self.assertEqual([], world.group.primary.log)
+
+        self.run_fleet(scenario)
+
+    def test_an_unknown_database_is_refused(self):
+        async def scenario(world):
+            caller = world.caller("south-1", "nothing")
+            answer = await caller.read("a")
+            self.assertEqual(Problem.NO_DATABASE, answer.problem)
+
+        self.run_fleet(scenario)
+
+    def test_an_idle_transaction_is_ended_with_its_connection(self):
+        async def scenario(world):
+            caller = world.caller("south-1", "posts")
+            await caller.ask(statements.Begin())
+            await caller.ask(Direct(Access.WRITE, "a 1"))
+            caller.session.abandon("idle")
+            answer = await caller.ask(statements.Commit())
+            self.assertEqual(Problem.ABORTED, answer.problem)
+            self.assertEqual([], world.group.primary.log)
+
+        self.run_fleet(scenario)
--- /dev/null
+++ b/tests/support/fleet.py
@@ -0,0 +1,231 @@
+"""A fleet on the virtual clock: instances, targets, store, callers."""
+
+import asyncio
+
+import attrs
+
+from balsamhinge.controllers import clock
+from balsamhinge import exceptions
+from balsamhinge import fleet
+from balsamhinge import links
+from balsamhinge.policy import homes
+from balsamhinge.policy import routes
+from balsamhinge.policy import statements
+from balsamhinge.sessions import session
+from balsamhinge.standins import records
+from balsamhinge.standins import replicas
+
+__all__ = ["CENTRES", "Caller", "FleetWorld"]
+
+CENTRES = ("north", "central", "south")
+DELAY_S = 0.001
+DATABASES = {
+    "posts": routes.Freshness.LATEST,
+    "fixtures": routes.Freshness.SESSION,
+    "ranks": routes.Freshness.AGED,
+}
+Direct = statements.Direct
+Access = statements.Access
+
+
+class WorldNotes(links.NotesLink):
+    """Carries notes between the instances of a world."""
+
+    def __init__(self, world, instance):
+        self._world = world
+        self._instance = instance
+
+    async def exchange(self, member, note, timeout_s):
+        """See `NotesLink.exchange`."""
+        await asyncio.sleep(DELAY_S)
+        pair = {self._instance, member.name}
+        receiver = self._world.fleets.get(member.name)
+        if receiver is None:
+            raise exceptions.PeerUnavailable(member.name, True)
+        if self._world.is_cut(*pair):
+            await asyncio.sleep(timeout_s)
+            raise exceptions.PeerUnavailable(member.name, True)
+        answer = receiver.gossip.receive(note)
+        await asyncio.sleep(DELAY_S)
+        return answer
+
+
+class WorldPromotion(links.PromotionLink):
+    """The platform's promotions, and who asked for them."""
+
+    def __init__(self, world):
+        self._world = world
+
+    async def promote(self, group, target, holder, fence, timeout_s):
+        """See `PromotionLink.promote`."""
+        await asyncio.sleep(DELAY_S)
+        self._world.promotions.append((holder, fence, target))
+        await self._world.groups[group].promote(target)
+
+
+class FleetWorld:
+    """Three data centres with instances, and groups of three targets.
+
+    Parameters
+    ----------
+    instances : int
+        In each data centre.
+    groups : int
+        How many groups; the first one has the callers' databases.
+    """
+
+    def __init__(self, instances=2, groups=1):
+        self.records = records.Records()
+        self.groups = {}
+        self.fleets = {}
+        self.promotions = []
+        self.cuts = set()
+        self.acknowledged = []
+        self.offsets = {}
+        for number in range(1, groups + 1):
+            name = f"ladder-{number}"
+            self.groups[name] = replicas.ReplicaGroup(name, CENTRES)
+        self.members = [
+            homes.Member(f"{centre}-{n}", f"{centre}-{n}:1", centre)
+            for centre in CENTRES
+            for n in range(1, instances + 1)
+        ]
+        self.version = 1
+
+    @property
+    def group(self):
+        """Return the first group."""
+        return next(iter(self.groups.values()))
+
+    def is_cut(self, first, second):
+        """Return whether two instances do not reach each other."""
+        return frozenset((first, second)) in self.cuts
+
+    def table(self, **changes):
+        """Return a configuration, with changes to all its routes."""
+        found = {}
+        for database, freshness in DATABASES.items():
+            route = routes.Route(
+                database=database,
+                group=self.group.name,
+                freshness=freshness,
+                max_age_s=1.5,
+                timeout_s=0.8,
+                aim_s=0.25,
+                priority=1,
+            )
+            found[database] = attrs.evolve(route, **changes)
+        limits = {name: routes.GroupLimits(name, 23) for name in self.groups}
+        return routes.RoutingTable(self.version, found, limits, 3.0)
+
+    def configure(self, **changes):
+        """Write the next version of the configuration."""
+        table = self.table(**changes)
+        self.version += 1
+        self.records.put(links.ROUTES, "main", table)
+        return table
+
+    def list_targets(self):
+        """Write what all targets say of themselves."""
+        for group in self.groups.values():
+            for target in group.targets.values():
+                self.records.put(links.TARGETS, target.name, target.entry())
+
+    def start_instance(self, member):
+        """Start one instance."""
+
+        def boot_time():
+            return clock.now() + self.offsets.get(member.name, 0.0)
+
+        outside = links.FleetLinks(
+            store=self.records.link(member.name),
+            promotion=WorldPromotion(self),
+            targets=replicas.ReplicaTargetLink(self.groups, member.name),
+            peers=WorldNotes(self, member.name),
+            boot_time=boot_time,
+        )
+        started = fleet.FleetInstance(member, outside)
+        self.fleets[member.name] = started
+        started.start()
+        return started
+
+    async def kill(self, name):
+        """End an instance at once."""
+        ended = self.fleets.pop(name)
+        await ended.halt()
+
+    async def start(self):
+        """Start everything, and wait until each primary may be used."""
+        self.configure()
+        self.list_targets()
+        for member in self.members:
+            self.start_instance(member)
+        await self.wait_leaders()
+
+    async def wait_leaders(self):
+        """Wait until every instance may use each primary."""
+        for one in self.fleets.values():
+            for name in self.groups:
+                found = await one.leaders.wait_leader(name, clock.now() + 30.0)
+                assert found is not None, (one.me.name, name)
+
+    async def stop(self):
+        """End everything."""
+        for name in list(self.fleets):
+            await self.kill(name)
+
+    def caller(self, instance, database):
+        """Return a caller with a session at an instance."""
+        return Caller(self, self.fleets[instance], database)
+
+    def cut_zone(self, centre):
+        """Cut a data centre off from the others and from the store."""
+        inside = {m.name for m in self.members if m.data_centre == centre}
+        outside = {m.name for m in self.members} - inside
+        self.records.knobs.cut |= inside
+        self.cuts |= {frozenset((a, b)) for a in inside for b in outside}
+        for group in self.groups.values():
+            for target in group.targets.values():
+                far = target.data_centre != centre
+                target.knobs.cut |= inside if far else outside
+
+    def heal(self):
+        """End all cuts."""
+        self.records.knobs.cut.clear()
+        self.cuts.clear()
+        for group in self.groups.values():
+            for target in group.targets.values():
+                target.knobs.cut.clear()
+
+
+class Caller:
+    """Asks one session, and keeps what was acknowledged."""
+
+    def __init__(self, world, instance, database):
+        self._world = world
+        self.session = session.Session(instance, database)
+        self._name = f"{instance.me.name}/{database}/{id(self):x}"
+        self._count = 0
+
+    def _id(self):
+        self._count += 1
+        return f"{self._name}/{self._count}"
+
+    async def ask(self, statement):
+        """Return the answer to a statement."""
+        return await self.session.answer(self._id(), statement)
+
+    async def write(self, item, data):
+        """Write an item in a statement of its own."""
+        request_id = self._id()
+        order = Direct(Access.WRITE, f"{item} {data}")
+        answer = await self.session.answer(request_id, order)
+        if answer.problem is None:
+            self._world.acknowledged.append(
+                (clock.now(), request_id, answer.position)
+            )
+        return answer
+
+    async def read(self, item):
+        """Read an item in a statement of its own."""
+        return await self.ask(Direct(Access.READ, item))
--- /dev/null
+++ b/tests/support/virtual.py
@@ -0,0 +1,29 @@
+"""Tests that run on a fleet of the virtual clock."""
+
+import asyncio
+
+import testtools
+
+from tests.support import fleet
+from tests.support import world
+
+__all__ = ["FleetTestCase"]
+
+
+class FleetTestCase(testtools.TestCase):
+    """Starts a fleet for one coroutine, and ends it."""
+
+    def run_fleet(self, scenario, **options):
+        """Run `scenario(world)` on a fleet that serves."""
+
+        async def run():
+            running = fleet.FleetWorld(**options)
+            await running.start()
+            # Three rounds of notes, so that all have heard each other.
+            await asyncio.sleep(2.0)
+            try:
+                await scenario(running)
+            finally:
+                await running.stop()
+
+        world.run_virtual(run())
