Isolated instances are not ready, refuse at once and send idle sessions away

Cause: in a zone cut, callers of the cut zone stayed with instances that reached no primary; writes and transactions hung for their whole timeout. Ruled out: a promotion into the cut zone (nobody there may promote). Conclusion: the balancer moves callers within 3 s; two seconds remain.

--- a/balsamhinge/fleet.py
+++ b/balsamhinge/fleet.py
@@ -26,6 +26,9 @@
 
 SWEEP_S = 0.25
 REGISTER_RETRY_S = 0.3
+# An instance whose knowledge is older, and that hears no other place, is
+# isolated: two polls of the store and two rounds of notes have failed.
+ISOLATED_AGE_S = 1.2
 
 log = logbook.Logger(__name__)
 
@@ -68,6 +71,7 @@
         self.failover = failover.FailoverController(self)
         self.heard_elsewhere = {}
         self.stopping = False
+        self._isolated_at = None
         self.started_at = clock.now()
         self._tasks = set()
 
@@ -79,7 +83,46 @@
     @property
     def ready(self):
         """Return whether new sessions should come here."""
-        return bool(self.directory.table.version) and not self.stopping
+        known = bool(self.directory.table.version)
+        return known and not self.stopping and not self.isolated
+
+    @property
+    def isolated(self):
+        """Return whether neither the store nor another place is reached.
+
+        Callers of this instance are then better served elsewhere.
+        """
+        return self._isolated_at is not None
+
+    @property
+    def isolated_s(self):
+        """Return for how long this instance has been isolated."""
+        if self._isolated_at is None:
+            return 0.0
+        return clock.now() - self._isolated_at
+
+    def _judge_isolation(self):
+        """Compare what was heard lately with what should have been."""
+        far = [
+            member.name
+            for member in self.other_members()
+            if member.data_centre != self.me.data_centre
+        ]
+        age_s = self.leaders.book.age_s(self.links.boot_time())
+        isolated = (
+            bool(far)
+            and age_s > ISOLATED_AGE_S
+            and all(self.gossip.is_silent(name) for name in far)
+        )
+        if isolated == self.isolated:
+            return
+        self._isolated_at = clock.now() if isolated else None
+        event(
+            log.warning if isolated else log.notice,
+            "isolated" if isolated else "not_isolated",
+            knowledge_age_s=age_s,
+            silent=",".join(far) if isolated else "",
+        )
 
     def other_members(self):
         """Return all other registered instances."""
@@ -151,6 +194,7 @@
         self.directory.sweep()
         self.lending.sweep()
         self.health.keep_only(self.directory.targets)
+        self._judge_isolation()
         await self.leaders.step()
 
     def loads(self, group):
--- a/balsamhinge/platform/callers.py
+++ b/balsamhinge/platform/callers.py
@@ -24,6 +24,9 @@
 # Sessions closed in one step of a stop, and the pause between steps.
 CLOSE_STEP_S = 0.1
 CLOSE_STEPS = 10
+# The balancer sends nobody here any more after two questions, a second
+# apart; sessions that are closed before that come back.
+ISOLATED_CLOSE_S = 2.1
 
 log = logbook.Logger(__name__)
 
@@ -63,6 +66,12 @@
         limit_s = self.fleet.directory.table.idle_transaction_s
         for conn in list(self.connections):
             conn.end_idle(now, limit_s)
+        if self.fleet.isolated_s > ISOLATED_CLOSE_S:
+            idle = [conn for conn in self.connections if conn.is_idle()]
+            if idle:
+                event(log.notice, "sessions_sent_away", sessions=len(idle))
+            for conn in idle:
+                conn.close()
 
     async def drain(self, grace_s):
         """Close all sessions in order, within `grace_s` seconds.
--- a/balsamhinge/sessions/placing.py
+++ b/balsamhinge/sessions/placing.py
@@ -127,9 +127,18 @@
     async def primary(self, ask):
         """Return a `Workplace` at the primary, or a refusal."""
         while True:
+            # Where nobody else is reached, no other primary will be known
+            # in time, and a caller is better served elsewhere.
+            isolated = self._fleet.isolated
+            until = clock.now() if isolated else ask.until
             found = await self._fleet.leaders.wait_leader(
-                ask.route.group, ask.until
+                ask.route.group, until
             )
+            if isolated and found is not None:
+                silent_s = self._fleet.health.of(found.target).silent_s(
+                    clock.now()
+                )
+                found = found if not silent_s else None
             if found is None:
                 known = self._fleet.leaders.known(ask.route.group)
                 ask.note(
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -80,6 +80,13 @@
         self._server.close()
 
     async def _serve(self, reader, writer):
+        try:
+            await self._converse(reader, writer)
+        except asyncio.CancelledError:
+            # The test has ended.
+            writer.close()
+
+    async def _converse(self, reader, writer):
         link = replicas.ReplicaTargetLink(
             {self.target.group.name: self.target.group}, "line"
         )
@@ -104,6 +111,11 @@
                 request_id, _, statement = rest.partition(" ")
                 order = self._order(request_id, statement)
                 answer = await conn.send(order)
+                if order.request_id == "" and answer.rows:
+                    # Term held, lag, busy and connections of a status.
+                    answer = attrs.evolve(
+                        answer, rows=(f"{answer.rows[0]} 0 0 0 1",)
+                    )
                 writer.write(wire.encode_answer(answer))
             else:
                 break
@@ -160,6 +172,13 @@
         self._server.close()
 
     async def _serve(self, reader, writer):
+        try:
+            await self._converse(reader, writer)
+        except asyncio.CancelledError:
+            # The test has ended.
+            writer.close()
+
+    async def _converse(self, reader, writer):
         machine = h11.Connection(h11.SERVER)
         request, body = None, b""
         while True:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -319,3 +319,40 @@
             self.assertNotIn("ladder-1-2", directory.targets)
 
         self.run_fleet(scenario)
+
+
+class IsolationTest(virtual.FleetTestCase):
+    """An instance that reaches nobody sends its callers elsewhere."""
+
+    def test_an_isolated_data_centre_is_not_ready_until_it_heals(self):
+        async def scenario(world):
+            world.cut_zone("south")
+            await asyncio.sleep(2.0)
+            for name, one in world.fleets.items():
+                self.assertEqual(not name.startswith("south"), one.ready)
+            world.heal()
+            await asyncio.sleep(2.0)
+            self.assertTrue(all(one.ready for one in world.fleets.values()))
+
+        self.run_fleet(scenario)
+
+    def test_an_isolated_instance_refuses_at_once(self):
+        async def scenario(world):
+            caller = world.caller("south-1", "posts")
+            world.cut_zone("south")
+            await asyncio.sleep(2.0)
+            loop = asyncio.get_running_loop()
+            begun = loop.time()
+            answer = await caller.write("a", "1")
+            self.assertEqual(Problem.BUSY, answer.problem)
+            self.assertLess(loop.time() - begun, 0.1)
+
+        self.run_fleet(scenario)
+
+    def test_an_instance_without_the_store_alone_stays_ready(self):
+        async def scenario(world):
+            world.records.knobs.cut.add("south-1")
+            await asyncio.sleep(4.0)
+            self.assertTrue(world.fleets["south-1"].ready)
+
+        self.run_fleet(scenario)
