Registered instances lie in the same reading as the primaries

Cause: an instance extended its leases by the promises of the members that it knew, and a scenario showed one that knew three of six: a whole reading had come between a watch's start and its end. One missing member is enough to read stale data after its promotion. Ruled out: the promises themselves (each was kept). Now members are read together with the primaries, notes pass them on by revision, and an instance that registers anew changes no primary for as long as leases can be extended without it. Notes between zones go to the holder and two others in calm times; all are asked in trouble.

--- a/balsamhinge/controllers/directory.py
+++ b/balsamhinge/controllers/directory.py
@@ -1,4 +1,4 @@
-"""Follows the platform's records: routes, targets, members, leaders."""
+"""Follows the platform's records of routes and targets."""
 
 import asyncio
 import random
@@ -10,7 +10,6 @@
 from balsamhinge import exceptions
 from balsamhinge import links
 from balsamhinge.logs import event
-from balsamhinge.policy import homes
 from balsamhinge.policy import routes
 
 __all__ = ["DirectoryController", "Follower"]
@@ -56,7 +55,7 @@
         while True:
             try:
                 if self._as_of is None:
-                    await self.read()
+                    await self._read()
                 else:
                     await self._watch()
             except exceptions.HistoryGone:
@@ -66,8 +65,7 @@
                 self._health.failed(exc)
                 await clock.pause(RETRY_S * rng.uniform(0.7, 1.3))
 
-    async def read(self):
-        """Read all records now."""
+    async def _read(self):
         listing = await self._store.list(self._kind)
         self._health.answered()
         self._take(listing.records, listing.as_of)
@@ -130,15 +128,11 @@
         self.entries = Follower(
             store, links.TARGETS, health, self._take_targets
         )
-        self.registry = Follower(
-            store, links.MEMBERS, health, self._take_members
-        )
 
     def runners(self):
         """Return the coroutines that follow the store."""
         return [
-            follower.run(self._rng)
-            for follower in (self.routes, self.entries, self.registry)
+            follower.run(self._rng) for follower in (self.routes, self.entries)
         ]
 
     def learn_table(self, table):
@@ -209,17 +203,6 @@
                 del self._missing[name]
                 self.targets.pop(name, None)
 
-    def _take_members(self, follower):
-        self.members = {
-            name: homes.Member(
-                name,
-                record.value["address"],
-                record.value["data_centre"],
-            )
-            for name, record in follower.records.items()
-            if isinstance(record.value, dict)
-        }
-
     def targets_of(self, group):
         """Return the targets of a group that may get new work."""
         return [
--- a/balsamhinge/controllers/duty.py
+++ b/balsamhinge/controllers/duty.py
@@ -11,11 +11,11 @@
 from balsamhinge.policy import homes
 from balsamhinge.policy import leases
 
-__all__ = ["DUTY_KEY", "DutyController"]
+__all__ = ["DutyController"]
 
-DUTY_KEY = "duty"
-# The holder reads the store so often; four readings fit into a lease.
-POLL_S = 0.5
+# The holder reads the store so often: each call is paid for, and a
+# reading and a round of notes fit into a lease almost twice.
+POLL_S = 0.7
 # Others read the store themselves if notes bring nothing newer; by rank,
 # so that one of them is enough.
 OTHERS_AGE_S = 1.0
@@ -32,6 +32,8 @@
 # An instance that has just started has not heard the others yet: three
 # rounds of notes have to pass before it judges who is silent.
 SETTLE_S = 1.5
+# Rounds of notes with all instances before the holder is followed.
+FULL_ROUNDS = 2
 
 log = logbook.Logger(__name__)
 
@@ -92,7 +94,8 @@
     def _rank(self):
         names = self._fleet.gossip.live()
         order = homes.rank(
-            [homes.Member(name, "", "") for name in names], DUTY_KEY
+            [homes.Member(name, "", "") for name in names],
+            leaders_module.DUTY_KEY,
         )
         ordered = [member.name for member in order]
         if self._fleet.me.name not in ordered:
@@ -130,11 +133,17 @@
     def _should_take(self):
         if self.held or self._fleet.stopping or not self._fleet.registered:
             return False
+        if self.holder and not self._fleet.seasoned:
+            return False
         gossip = self._fleet.gossip
         if self.holder:
             running_s = clock.now() - self._fleet.started_at
             if running_s < SETTLE_S or self.holder in gossip.live():
                 return False
+            left = gossip.last_notes.get(self.holder)
+            leaving = left is not None and left.leaving
+            if gossip.full_rounds < FULL_ROUNDS and not leaving:
+                return False
         return self._rank() == 0
 
     async def _take(self):
@@ -147,7 +156,7 @@
         revision = earlier.revision if earlier else 0
         record = await leaders_module.put_record(
             leaders.store,
-            DUTY_KEY,
+            leaders_module.DUTY_KEY,
             {"holder": self._fleet.me.name},
             revision,
         )
--- a/balsamhinge/controllers/failover.py
+++ b/balsamhinge/controllers/failover.py
@@ -8,6 +8,7 @@
 from balsamhinge.controllers import clock
 from balsamhinge.controllers import leaders as leaders_module
 from balsamhinge import exceptions
+from balsamhinge import links
 from balsamhinge.logs import event
 from balsamhinge.policy import leases
 from balsamhinge.policy import positions
@@ -226,6 +227,9 @@
     async def _change(self, known, reason, orderly):
         fleet = self._fleet
         begun = clock.now()
+        if not fleet.seasoned:
+            await clock.pause(RETRY_S)
+            return
         if not known.changing:
             announced = attrs.evolve(known, changing=True, orderly=orderly)
             known = await self._put(announced, known.revision)
@@ -273,7 +277,7 @@
             Whether all have confirmed it; otherwise their leases lapsed.
         """
         fleet = self._fleet
-        await fleet.directory.registry.read()
+        await fleet.leaders.read()
         while True:
             waiting = [
                 member
@@ -416,16 +420,17 @@
             heard = fleet.gossip.heard_at.get(member.name, fleet.started_at)
             if now - heard < FORGET_S:
                 continue
-            record = fleet.directory.registry.records.get(member.name)
-            if record is not None:
-                fleet.spawn(self._forget(record))
+            fleet.spawn(self._forget(member.name))
 
-    async def _forget(self, record):
+    async def _forget(self, name):
+        record = self._fleet.leaders.member_records.get(name)
+        if record is None:
+            return
         try:
             await self._fleet.links.store.delete(
-                "members", record.name, record.revision
+                links.LEADERS, leaders_module.member_key(name), record.revision
             )
         except exceptions.BalsamhingeError as exc:
-            event(log.info, "forget_failed", instance=record.name, error=exc)
+            event(log.info, "forget_failed", instance=name, error=exc)
             return
-        event(log.notice, "instance_forgotten", instance=record.name)
+        event(log.notice, "instance_forgotten", instance=name)
--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -18,12 +18,19 @@
 # A peer that is reached answers within milliseconds; one that is late by
 # more is busy or cut off.
 CALL_S = 0.35
-# Instances asked in each round, beside the holder of the duty; below
-# this number all are asked, and their promises extend leases.
-MOST_PEERS = 11
+# Instances of other data centres asked in a calm round, beside the holder
+# of the duty: bytes between data centres are paid for.
+FAR_PEERS = 2
+# Instances of the own data centre asked in a calm round.
+NEAR_PEERS = 4
+# Most instances asked in a round of trouble: all of today's, whose
+# promises extend leases.
+MOST_PEERS = 16
+# Knowledge older than this, or a holder silent for so long, is trouble.
+TROUBLE_S = 0.9
 # A peer that has not answered for so long is taken for silent: two
-# rounds and a lost message.
-SILENT_S = 1.0
+# rounds.
+SILENT_S = 0.8
 
 log = logbook.Logger(__name__)
 
@@ -42,27 +49,45 @@
         self._rng = random.Random(f"gossip/{fleet.me.name}")
         self.heard_at = {}
         self.last_notes = {}
+        self.full_rounds = 0
+        self.far_heard_at = clock.now()
         self._asked = set()
         self._known_as_of = {}
 
     async def run(self):
         """Exchange notes for ever."""
         while True:
-            for member in self._choose():
+            trouble = self._is_trouble()
+            self.full_rounds = self.full_rounds + 1 if trouble else 0
+            for member in self._choose(trouble):
                 if member.name not in self._asked:
                     self._fleet.spawn(self.ask(member))
             await clock.pause(INTERVAL_S * self._rng.uniform(0.85, 1.15))
 
-    def _choose(self):
+    def _is_trouble(self):
+        fleet = self._fleet
+        age_s = fleet.leaders.book.age_s(fleet.links.boot_time())
+        holder = fleet.duty.holder
+        lost = holder != fleet.me.name and self.is_silent(holder)
+        return age_s > TROUBLE_S or lost
+
+    def _choose(self, trouble):
+        """Return whom to ask in this round."""
         members = self._fleet.other_members()
-        if len(members) <= MOST_PEERS:
-            return members
-        chosen = self._rng.sample(members, MOST_PEERS)
-        holder = self._fleet.directory.members.get(self._fleet.duty.holder)
-        if holder is not None and holder not in chosen:
-            if holder.name != self._fleet.me.name:
-                chosen.append(holder)
-        return chosen
+        if trouble:
+            return self._some(members, MOST_PEERS)
+        holder = self._fleet.duty.holder
+        centre = self._fleet.me.data_centre
+        near = [m for m in members if m.data_centre == centre]
+        far = [
+            m for m in members if m.data_centre != centre and m.name != holder
+        ]
+        chosen = [m for m in members if m.name == holder]
+        chosen += [m for m in self._some(near, NEAR_PEERS) if m not in chosen]
+        return chosen + self._some(far, FAR_PEERS)
+
+    def _some(self, members, most):
+        return self._rng.sample(members, min(most, len(members)))
 
     async def ask(self, member):
         """Exchange notes with one instance; return its note or None."""
@@ -90,7 +115,7 @@
         """Return the instances that answered lately, this one included."""
         names = [
             name
-            for name in self._fleet.directory.members
+            for name in self._fleet.leaders.members
             if not self.is_silent(name) and not self.last_notes[name].leaving
         ]
         if not self._fleet.stopping:
@@ -122,6 +147,11 @@
             as_of=knowledge.as_of,
             age_s=min(1e9, now - knowledge.read_at),
             leaderships=news,
+            members=[
+                record
+                for record in leaders.member_records.values()
+                if record.revision > known
+            ],
             left=dict(leaders.left),
             samples=fleet.sampling.samples(now),
             heard_s=fleet.leaders_heard_s(),
@@ -146,9 +176,15 @@
         return self.write(note.sender)
 
     def _take_lasting(self, note):
+        if note.sender not in self.last_notes:
+            event(log.notice, "peer_heard", instance=note.sender)
+        self.heard_at[note.sender] = clock.now()
+        self.last_notes[note.sender] = note
         self._known_as_of[note.sender] = note.as_of
         for leadership in note.leaderships:
             self._fleet.leaders.learn(leadership, note.sender)
+        for record in note.members:
+            self._fleet.leaders.learn_member(record)
         self._fleet.directory.learn_table(note.table)
 
     def take(self, note, asked_at):
@@ -159,11 +195,10 @@
         one second before that.
         """
         fleet = self._fleet
-        if note.sender not in self.last_notes:
-            event(log.notice, "peer_heard", instance=note.sender)
-        self.heard_at[note.sender] = clock.now()
-        self.last_notes[note.sender] = note
         self._take_lasting(note)
+        member = fleet.leaders.members.get(note.sender)
+        if member and member.data_centre != fleet.me.data_centre:
+            self.far_heard_at = clock.now()
         read_at = asked_at - note.age_s
         fleet.leaders.confirm(
             leases.Knowledge(note.as_of, read_at), note.sender
--- a/balsamhinge/controllers/leaders.py
+++ b/balsamhinge/controllers/leaders.py
@@ -8,12 +8,17 @@
 from balsamhinge import exceptions
 from balsamhinge import links
 from balsamhinge.logs import event
+from balsamhinge.policy import homes
 from balsamhinge.policy import leases
+from balsamhinge.policy import notes
 from balsamhinge.policy import samples
 
-__all__ = ["GROUP_PREFIX", "LeadersController", "group_key"]
+__all__ = ["LeadersController", "group_key", "member_key"]
 
+# All lie in one kind, so that one reading covers them all.
 GROUP_PREFIX = "group."
+MEMBER_PREFIX = "member."
+DUTY_KEY = "duty"
 # How long the work at the old primary may go on in an orderly change.
 ORDERLY_S = 0.5
 
@@ -25,6 +30,11 @@
     return f"{GROUP_PREFIX}{group}"
 
 
+def member_key(name):
+    """Return the name of an instance's record in the store."""
+    return f"{MEMBER_PREFIX}{name}"
+
+
 class LeadersController:
     """The lease book of one instance, and its use of primaries.
 
@@ -34,19 +44,17 @@
         The platform's store.
     health : StoreHealth
         Whether it answers.
-    directory : DirectoryController
-        Knows the registered instances.
     me : Member
         This instance.
     boot_time : callable
         See `FleetLinks`.
     """
 
-    def __init__(self, store, health, directory, me, boot_time):
+    def __init__(self, store, health, me, boot_time):
         self.store = store
         self._health = health
-        self._directory = directory
         self._me = me
+        self.member_records = {}
         self.boot_time = boot_time
         self.book = leases.LeaseBook()
         self.samples = {}
@@ -58,15 +66,20 @@
         self._grace = {}
         self._valid = False
 
+    @property
+    def members(self):
+        """Return all registered instances by name."""
+        return {
+            name: record.member for name, record in self.member_records.items()
+        }
+
     def others(self):
         """Return the names of all other registered instances."""
-        return [
-            name for name in self._directory.members if name != self._me.name
-        ]
+        return [name for name in self.member_records if name != self._me.name]
 
     def leader(self, group):
         """Return the `Leadership` that may be acted upon now, or None."""
-        if self._me.name not in self._directory.members:
+        if self._me.name not in self.member_records:
             return None
         return self.book.leader(group, self.boot_time(), self.others())
 
@@ -244,14 +257,26 @@
             self._health.failed(exc)
             raise
         self._health.answered()
+        found = {}
         for record in listing.records.values():
             if record.name.startswith(GROUP_PREFIX):
                 self.learn(leadership_of(record), "store")
-        self.duty = listing.records.get("duty")
+            elif record.name.startswith(MEMBER_PREFIX):
+                one = member_of(record)
+                found[one.member.name] = one
+        if listing.as_of >= self.book.knowledge.as_of:
+            self.member_records = found
+        self.duty = listing.records.get(DUTY_KEY)
         self.duty_read_at = asked_at
         self.confirm(leases.Knowledge(listing.as_of, asked_at), "store")
         return listing
 
+    def learn_member(self, one):
+        """Take in the record of a registered instance."""
+        known = self.member_records.get(one.member.name)
+        if known is None or known.revision < one.revision:
+            self.member_records[one.member.name] = one
+
     def sample(self, leadership, asked_at, position):
         """Record a primary's position, asked while its lease held."""
         key = leadership.group
@@ -296,6 +321,17 @@
     )
 
 
+def member_of(record):
+    """Return the `MemberRecord` in a record of the store."""
+    value = record.value
+    member = homes.Member(
+        record.name.removeprefix(MEMBER_PREFIX),
+        value["address"],
+        value["data_centre"],
+    )
+    return notes.MemberRecord(member, record.revision)
+
+
 def record_value(leadership):
     """Return what is stored of a leadership."""
     return {
--- a/balsamhinge/controllers/lending.py
+++ b/balsamhinge/controllers/lending.py
@@ -220,11 +220,14 @@
     health : HealthController
         Is told of what happens.
     directory : DirectoryController
-        Knows targets, limits and instances.
+        Knows targets and limits.
+    leaders : LeadersController
+        Knows the instances.
     """
 
-    def __init__(self, link, health, directory):
+    def __init__(self, link, health, directory, leaders):
         self._link = link
+        self._leaders = leaders
         self._health = health
         self._directory = directory
         self._pools = {}
@@ -235,7 +238,7 @@
 
     def share(self, group):
         """Return how many connections to each target are ours for good."""
-        instances = max(1, len(self._directory.members))
+        instances = max(1, len(self._leaders.member_records))
         return max(1, self._limit(group) // instances)
 
     def most(self, group):
@@ -244,7 +247,7 @@
         Demand is uneven, so an instance may open more than its share
         while others use less; the target's own limit refuses the rest.
         """
-        instances = max(1, len(self._directory.members))
+        instances = max(1, len(self._leaders.member_records))
         limit = self._limit(group)
         return max(1, min(limit, 3 * limit // instances))
 
--- a/balsamhinge/fleet.py
+++ b/balsamhinge/fleet.py
@@ -18,6 +18,7 @@
 from balsamhinge import exceptions
 from balsamhinge import links
 from balsamhinge.logs import event
+from balsamhinge.policy import leases
 from balsamhinge.policy import placement
 from balsamhinge.policy import statements
 from balsamhinge.sessions import running
@@ -28,7 +29,8 @@
 REGISTER_RETRY_S = 0.3
 # An instance whose knowledge is older, and that hears no other place, is
 # isolated: two polls of the store and two rounds of notes have failed.
-ISOLATED_AGE_S = 1.2
+ISOLATED_AGE_S = 0.9
+FAR_SILENT_S = 0.8
 
 log = logbook.Logger(__name__)
 
@@ -55,16 +57,15 @@
             links_.store, self.store_health, f"{seed}/{me.name}"
         )
         self.health = health.HealthController()
-        self.lending = lending.LendingController(
-            links_.targets, self.health, self.directory
-        )
         self.leaders = leaders.LeadersController(
             links_.store,
             self.store_health,
-            self.directory,
             me,
             links_.boot_time,
         )
+        self.lending = lending.LendingController(
+            links_.targets, self.health, self.directory, self.leaders
+        )
         self.gossip = gossip.GossipController(self)
         self.sampling = sampling.SamplingController(self)
         self.duty = duty.DutyController(self)
@@ -72,13 +73,23 @@
         self.heard_elsewhere = {}
         self.stopping = False
         self._isolated_at = None
+        self._seasoned_from = 0.0
         self.started_at = clock.now()
         self._tasks = set()
 
     @property
     def registered(self):
         """Return whether the store lists this instance as it is now."""
-        return self.directory.members.get(self.me.name) == self.me
+        return self.leaders.members.get(self.me.name) == self.me
+
+    @property
+    def seasoned(self):
+        """Return whether all others know this instance.
+
+        One that registers anew may change no primary until every lease
+        that was given without its promise has lapsed.
+        """
+        return self.links.boot_time() >= self._seasoned_from
 
     @property
     def ready(self):
@@ -112,7 +123,7 @@
         isolated = (
             bool(far)
             and age_s > ISOLATED_AGE_S
-            and all(self.gossip.is_silent(name) for name in far)
+            and clock.now() - self.gossip.far_heard_at > FAR_SILENT_S
         )
         if isolated == self.isolated:
             return
@@ -121,14 +132,13 @@
             log.warning if isolated else log.notice,
             "isolated" if isolated else "not_isolated",
             knowledge_age_s=age_s,
-            silent=",".join(far) if isolated else "",
         )
 
     def other_members(self):
         """Return all other registered instances."""
         return [
             member
-            for member in self.directory.members.values()
+            for member in self.leaders.members.values()
             if member.name != self.me.name
         ]
 
@@ -179,16 +189,20 @@
             await clock.pause(REGISTER_RETRY_S * self.rng.uniform(0.8, 1.2))
 
     async def _put_record(self, value):
-        registry = self.directory.registry
-        await registry.read()
-        record = registry.records.get(self.me.name)
-        store, name = self.links.store, self.me.name
-        if record is None:
-            await store.create(links.MEMBERS, name, value)
-        elif record.value != value:
-            await store.replace(links.MEMBERS, name, value, record.revision)
-        await registry.read()
-        event(log.notice, "instance_registered", instance=name)
+        await self.leaders.read()
+        known = self.leaders.member_records.get(self.me.name)
+        if known is not None and known.member == self.me:
+            return
+        key = leaders.member_key(self.me.name)
+        if known is not None:
+            await self.links.store.replace(
+                links.LEADERS, key, value, known.revision
+            )
+        else:
+            self._seasoned_from = self.links.boot_time() + leases.EXTENDED_S
+            await self.links.store.create(links.LEADERS, key, value)
+        await self.leaders.read()
+        event(log.notice, "instance_registered", instance=self.me.name)
 
     async def _sweep(self):
         self.directory.sweep()
--- a/balsamhinge/links.py
+++ b/balsamhinge/links.py
@@ -11,10 +11,8 @@
 
 __all__ = [
     "CONFIGURATION_KEY",
-    "DUTIES",
     "INSTANCES_KEY",
     "LEADERS",
-    "MEMBERS",
     "ROUTES",
     "TARGETS",
     "Change",
@@ -43,9 +41,7 @@
 # Kinds of records in the platform's store.
 ROUTES = "routes"
 TARGETS = "targets"
-MEMBERS = "members"
 LEADERS = "leaders"
-DUTIES = "duties"
 
 
 @attrs.frozen
--- a/balsamhinge/policy/notes.py
+++ b/balsamhinge/policy/notes.py
@@ -2,11 +2,12 @@
 
 import attrs
 
+from balsamhinge.policy import homes
 from balsamhinge.policy import leases
 from balsamhinge.policy import positions
 from balsamhinge.policy import routes
 
-__all__ = ["Note", "Sample"]
+__all__ = ["MemberRecord", "Note", "Sample"]
 
 
 @attrs.frozen
@@ -28,6 +29,14 @@
     age_s: float
 
 
+@attrs.frozen
+class MemberRecord:
+    """A registered instance, with the store's revision of its record."""
+
+    member: homes.Member
+    revision: int
+
+
 @attrs.frozen
 class Note:
     """One instance's news. Ages count from its writing.
@@ -42,6 +51,8 @@
         Age of that reading in seconds.
     leaderships : list of Leadership
         Those that the receiver may lack.
+    members : list of MemberRecord
+        Registered instances that the receiver may lack.
     left : dict of str to int
         By group, the revision of the announced change for which the
         sender has stopped to use the old primary.
@@ -69,6 +80,7 @@
     as_of: int = 0
     age_s: float = 1e9
     leaderships: list[leases.Leadership] = attrs.Factory(list)
+    members: list[MemberRecord] = attrs.Factory(list)
     left: dict[str, int] = attrs.Factory(dict)
     samples: dict[str, Sample] = attrs.Factory(dict)
     heard_s: dict[str, float] = attrs.Factory(dict)
