Scarce connections are given back after 0.2 s; reads do not wait for a full target

Cause: with 70 instances before targets of 46 connections each instance kept one for good; 18,895 connections were reset in 10 s. Ruled out: the slots, which were far from full.

--- a/balsamhinge/controllers/lending.py
+++ b/balsamhinge/controllers/lending.py
@@ -19,8 +19,13 @@
 # Connections beyond this instance's share are closed after so long
 # without use, so that other instances can open theirs.
 SPARE_IDLE_S = 1.5
-# Pause after a target's limit of connections was met.
-LIMIT_PAUSE_S = 0.25
+# ... and after this where there are more instances than connections:
+# longer than the pauses inside an operation, so that most operations open
+# one connection at most.
+SCARCE_IDLE_S = 0.2
+# Pause after a target's limit of connections was met: others give theirs
+# back within tens of milliseconds.
+LIMIT_PAUSE_S = 0.04
 
 log = logbook.Logger(__name__)
 
@@ -69,18 +74,22 @@
         self._most = most
         self._idle = []
         self._waiting = collections.deque()
+        self._impatient = set()
         self._opening = 0
         self._limited_until = 0.0
         self._closed = False
         self.open = 0
 
-    async def borrow(self, until):
+    async def borrow(self, until, patient=True):
         """Return a `Lent` connection.
 
         Parameters
         ----------
         until : float
             Loop seconds after which nobody waits for it.
+        patient : bool
+            Whether to wait where the target's limit of connections is
+            met; otherwise another target may serve sooner.
 
         Raises
         ------
@@ -92,7 +101,14 @@
             if not lent.conn.lost:
                 return lent
             self.open -= 1
+        if not patient and clock.now() < self._limited_until:
+            raise exceptions.NotRunError(
+                f"{self.target.name} accepts no more connections"
+            )
         fut = asyncio.get_running_loop().create_future()
+        if not patient:
+            self._impatient.add(fut)
+            fut.add_done_callback(self._impatient.discard)
         self._waiting.append(fut)
         self._open_more()
         try:
@@ -143,8 +159,7 @@
     def _open_more(self):
         wanted = len(self._waiting) - self._opening
         room = self._most() - self.open - self._opening
-        now = clock.now()
-        if now < self._limited_until and self.open:
+        if clock.now() < self._limited_until:
             return
         for _one in range(min(wanted, room)):
             self._opening += 1
@@ -169,17 +184,30 @@
         self.give_back(Lent(conn))
 
     def _refused(self, exc):
-        if exc.problem is statements.Problem.TOO_MANY:
+        if exc.problem is not statements.Problem.TOO_MANY:
+            self._fail_waiting(exc)
+            return
+        now = clock.now()
+        if now >= self._limited_until:
             event(
                 log.info,
                 "connection_limit_met",
                 target=self.target.name,
                 open=self.open,
+                waiting=len(self._waiting),
             )
-            self._limited_until = clock.now() + LIMIT_PAUSE_S
-            if self.open:
-                return
-        self._fail_waiting(exc)
+            self._limited_until = now + LIMIT_PAUSE_S
+            loop = asyncio.get_running_loop()
+            loop.call_later(LIMIT_PAUSE_S, self._open_more)
+        if not self.open:
+            self._fail_impatient(exc)
+
+    def _fail_impatient(self, exc):
+        """Send away who may be served by another target."""
+        for fut in [fut for fut in self._waiting if fut in self._impatient]:
+            self._waiting.remove(fut)
+            if not fut.done():
+                fut.set_exception(exc)
 
     def _fail_waiting(self, exc):
         waiting, self._waiting = self._waiting, collections.deque()
@@ -190,9 +218,10 @@
     def sweep(self, keep):
         """Close idle connections beyond `keep`, and dead ones."""
         now = clock.now()
+        idle_s = SPARE_IDLE_S if keep else SCARCE_IDLE_S
         kept = []
         for lent in self._idle:
-            spare = self.open > keep and now - lent.idle_at > SPARE_IDLE_S
+            spare = self.open > keep and now - lent.idle_at > idle_s
             if lent.conn.lost or spare:
                 self.open -= 1
                 lent.conn.close()
@@ -239,7 +268,7 @@
     def share(self, group):
         """Return how many connections to each target are ours for good."""
         instances = max(1, len(self._leaders.member_records))
-        return max(1, self._limit(group) // instances)
+        return self._limit(group) // instances
 
     def most(self, group):
         """Return how many connections to one target may be open.
--- a/balsamhinge/fleet.py
+++ b/balsamhinge/fleet.py
@@ -25,7 +25,7 @@
 
 __all__ = ["FleetInstance"]
 
-SWEEP_S = 0.25
+SWEEP_S = 0.1
 REGISTER_RETRY_S = 0.3
 # An instance whose knowledge is older, and that hears no other place, is
 # isolated: two polls of the store and two rounds of notes have failed.
--- a/balsamhinge/sessions/placing.py
+++ b/balsamhinge/sessions/placing.py
@@ -266,7 +266,7 @@
             return None
         pool = self._fleet.lending.pool(target)
         try:
-            lent = await pool.borrow(ask.until)
+            lent = await pool.borrow(ask.until, patient=False)
         except exceptions.NotRunError as exc:
             ask.note(name, exc)
             return None
