Switch a primary that most instances do not reach; learn of a new holder by notes

Ruled out: a switch while no other target has what the primary told last (accepted writes go first; a scenario checks it). Half of a share of connections is kept idle now: after a loss of power targets count dead connections for 3 s, and new ones found no room.

--- a/balsamhinge/controllers/directory.py
+++ b/balsamhinge/controllers/directory.py
@@ -136,10 +136,14 @@
         )
 
     def runners(self):
-        """Return the coroutines that follow the store."""
-        return [
-            follower.run(self._rng) for follower in (self.routes, self.entries)
-        ]
+        """Return the coroutine functions that follow the store."""
+        return [self._follow_routes, self._follow_entries]
+
+    async def _follow_routes(self):
+        await self.routes.run(self._rng)
+
+    async def _follow_entries(self):
+        await self.entries.run(self._rng)
 
     def learn_table(self, table):
         """Take in a configuration; an older one never replaces a newer."""
--- a/balsamhinge/controllers/duty.py
+++ b/balsamhinge/controllers/duty.py
@@ -51,6 +51,7 @@
         self._fleet = fleet
         self._rng = random.Random(f"duty/{fleet.me.name}")
         self.holder = ""
+        self.revision = 0
         self.fence = 0
         self.usable_from = 0.0
         self._previous = None
@@ -114,21 +115,31 @@
         self._next_read = clock.now() + POLL_S
         await self._fleet.leaders.read()
         record = self._fleet.leaders.duty
-        holder = record.value["holder"] if record else ""
+        if record is None:
+            return
+        holder = record.value["holder"]
+        self.learn(holder, record.revision, "store")
+        if holder == self._fleet.me.name and record.revision != self.fence:
+            # Taken by an earlier process of this name, or by a call whose
+            # answer was lost.
+            self.fence = record.revision
+            self.usable_from = self._fleet.links.boot_time() + HANDOVER_S
+
+    def learn(self, holder, revision, source):
+        """Take in who holds the duty; later records win."""
+        if revision <= self.revision:
+            return
         if holder != self.holder:
             event(
                 log.notice,
                 "duty_holder",
                 holder=holder,
                 earlier=self.holder,
-                fence=record.revision if record else 0,
+                fence=revision,
+                source=source,
             )
-        if holder == self._fleet.me.name and record.revision != self.fence:
-            # Taken by an earlier process of this name, or by a call whose
-            # answer was lost.
-            self.fence = record.revision
-            self.usable_from = self._fleet.links.boot_time() + HANDOVER_S
         self.holder = holder
+        self.revision = revision
 
     def _should_take(self):
         if self.held or self._fleet.stopping or not self._fleet.registered:
@@ -166,6 +177,7 @@
         # An instance that says it is leaving makes no call any more.
         wait_s = 0.0 if not previous or (left and left.leaving) else HANDOVER_S
         self.fence = record.revision
+        self.revision = record.revision
         self.holder = self._fleet.me.name
         self.usable_from = now + wait_s
         leaders.duty_read_at = now
--- a/balsamhinge/controllers/failover.py
+++ b/balsamhinge/controllers/failover.py
@@ -56,6 +56,7 @@
         self._fleet = fleet
         self._busy = set()
         self._gone_at = {}
+        self._spread_since = {}
         self._probing = set()
         self._forgotten_at = 0.0
 
@@ -109,6 +110,7 @@
             gone_s=evidence.gone_s,
             silent_s=evidence.silent_s,
             heard_s=evidence.heard_s,
+            spread_s=evidence.spread_s,
         )
         self._begin(group, self._change(known, "judged", orderly))
 
@@ -145,14 +147,42 @@
             health.heard_at,
             self._fleet.heard_elsewhere.get(known.target, float("-inf")),
         )
+        silent, hearing = self._count_silent(known)
+        spread = succession.is_spread(silent, hearing)
+        since = self._spread_since.setdefault(known.target, now)
+        if not spread:
+            self._spread_since.pop(known.target)
         return succession.Evidence(
             listed=target is not None,
             leaving=target is not None and target.leaving,
             gone_s=now - self._gone_at.get(known.target, now),
             silent_s=health.silent_s(now),
             heard_s=now - heard_at,
+            spread_s=now - since if spread else 0.0,
         )
 
+    def _count_silent(self, known):
+        """Return how many instances a primary is silent to, and not.
+
+        Instances that did not ask it lately count for neither.
+        """
+        fleet = self._fleet
+        silent = hearing = 0
+        for name in fleet.gossip.live():
+            if name == fleet.me.name:
+                heard, silence = (
+                    fleet.leaders_heard_s(),
+                    fleet.leaders_silent_s(),
+                )
+            else:
+                note = fleet.gossip.last_notes[name]
+                heard, silence = note.heard_s, note.silent_s
+            if silence.get(known.target, 0.0) > succession.SILENT_S:
+                silent += 1
+            elif heard.get(known.target, 1e9) < succession.HEARD_S:
+                hearing += 1
+        return silent, hearing
+
     def _candidates(self, known):
         return [
             target
@@ -330,11 +360,12 @@
             else:
                 avoided.add(known.target)
                 chosen = succession.choose_successor(reports, avoided)
-            if chosen is None or not orderly or own is None:
+            if chosen is None or not orderly:
                 return chosen, term
-            caught_up = positions.covers(
-                reports[chosen].received, own.received
-            )
+            # An old primary that this instance does not reach was heard by
+            # others, which tell its position.
+            held = own.received if own else fleet.leaders.last_position(known)
+            caught_up = positions.covers(reports[chosen].received, held)
             if caught_up or clock.now() - begun > CATCH_UP_S:
                 event(
                     log.notice,
@@ -342,9 +373,14 @@
                     group=known.group,
                     target=chosen,
                     received=reports[chosen].received,
-                    old_received=own.received,
+                    old_received=held,
+                    caught_up=caught_up,
                 )
-                return chosen, term
+                if caught_up or old is None or old.leaving:
+                    return chosen, term
+                # Its callers' accepted writes are worth more than the
+                # callers that do not reach it.
+                return known.target, term
             await clock.pause(POLL_S)
 
     async def _reports(self, targets):
--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -170,6 +170,7 @@
             promise_s=fleet.duty.promise_s(),
             leaving=fleet.stopping,
             holder=fleet.duty.holder,
+            holder_revision=fleet.duty.revision,
             store_silent_s=fleet.store_health.silent_s,
         )
 
@@ -192,6 +193,7 @@
             self._fleet.leaders.learn(leadership, note.sender)
         for record in note.members:
             self._fleet.leaders.learn_member(record)
+        self._fleet.duty.learn(note.holder, note.holder_revision, note.sender)
         self._fleet.directory.learn_table(note.table)
 
     def take(self, note, asked_at):
--- a/balsamhinge/controllers/leaders.py
+++ b/balsamhinge/controllers/leaders.py
@@ -11,6 +11,7 @@
 from balsamhinge.policy import homes
 from balsamhinge.policy import leases
 from balsamhinge.policy import notes
+from balsamhinge.policy import positions
 from balsamhinge.policy import samples
 
 __all__ = ["LeadersController", "group_key", "member_key"]
@@ -295,6 +296,11 @@
             return None
         return known[1].needed(self.boot_time(), max_age_s)
 
+    def last_position(self, leadership):
+        """Return the latest position known of a primary."""
+        known = self.samples.get(leadership.group)
+        return known[1].latest if known else positions.ORIGIN
+
     def sample_age_s(self, group):
         """Return the age of the latest position in seconds."""
         known = self.samples.get(group)
--- a/balsamhinge/controllers/lending.py
+++ b/balsamhinge/controllers/lending.py
@@ -16,8 +16,8 @@
 # A target that is reached answers within milliseconds; it must be
 # possible to try another one within the least aim in use, 150 ms.
 CONNECT_S = 0.4
-# Connections beyond this instance's share are closed after so long
-# without use, so that other instances can open theirs.
+# Connections beyond those that are kept are closed after so long without
+# use, so that other instances can open theirs.
 SPARE_IDLE_S = 1.5
 # ... and after this where there are more instances than connections:
 # longer than the pauses inside an operation, so that most operations open
@@ -265,10 +265,16 @@
         limits = self._directory.table.groups.get(group)
         return limits.connections if limits else 1
 
-    def share(self, group):
-        """Return how many connections to each target are ours for good."""
+    def kept(self, group):
+        """Return how many idle connections to each target are kept.
+
+        Half of an equal share: when all instances lose power, targets
+        count the connections of the dead ones for seconds, and the new
+        ones need the other half.
+        """
         instances = max(1, len(self._leaders.member_records))
-        return self._limit(group) // instances
+        share = self._limit(group) // instances
+        return max(1, share // 2) if share else 0
 
     def most(self, group):
         """Return how many connections to one target may be open.
@@ -311,7 +317,7 @@
                 del self._pools[name]
                 pool.close()
                 continue
-            pool.sweep(self.share(pool.target.group))
+            pool.sweep(self.kept(pool.target.group))
 
     def close(self):
         """Close every pool."""
--- a/balsamhinge/fleet.py
+++ b/balsamhinge/fleet.py
@@ -27,6 +27,8 @@
 
 SWEEP_S = 0.1
 REGISTER_RETRY_S = 0.3
+# Pause before a loop that an unforeseen error ended is started anew.
+LOOP_RESTART_S = 0.5
 # An instance whose knowledge is older, and that hears no other place, is
 # isolated: two polls of the store and two rounds of notes have failed.
 ISOLATED_AGE_S = 0.9
@@ -159,16 +161,35 @@
 
     def start(self):
         """Start to follow the store, and everything that follows from it."""
-        for runner in self.directory.runners():
-            self.spawn(runner)
-        self.spawn(self._register())
-        self.spawn(self.gossip.run())
-        self.spawn(self.duty.run())
-        self.spawn(self.failover.run())
-        self.spawn(self.sampling.run())
-        self.spawn(clock.run_forever(self._sweep, SWEEP_S))
+        for run in (
+            *self.directory.runners(),
+            self._register,
+            self.gossip.run,
+            self.duty.run,
+            self.failover.run,
+            self.sampling.run,
+            self._sweep_forever,
+        ):
+            self.spawn(self._keep_running(run))
         event(log.notice, "instance_started", instance=self.me.name)
 
+    async def _keep_running(self, run):
+        """Run a loop, and start it anew should an error end it."""
+        while True:
+            try:
+                await run()
+            except Exception as exc:
+                event(
+                    log.error,
+                    "loop_failed",
+                    loop=run.__qualname__,
+                    error=f"{type(exc).__name__} {exc}",
+                )
+            await clock.pause(LOOP_RESTART_S)
+
+    async def _sweep_forever(self):
+        await clock.run_forever(self._sweep, SWEEP_S)
+
     async def _register(self):
         """Keep this instance's record in the store, for ever."""
         value = {
--- a/balsamhinge/policy/notes.py
+++ b/balsamhinge/policy/notes.py
@@ -72,6 +72,8 @@
         Whether the sender is about to stop.
     holder : str
         Who holds the promotion duty as far as the sender knows.
+    holder_revision : int
+        The store's revision of that record.
     store_silent_s : float
         Seconds since the store last answered the sender.
     """
@@ -90,4 +92,5 @@
     promise_s: float = 0.0
     leaving: bool = False
     holder: str = ""
+    holder_revision: int = 0
     store_silent_s: float = 0.0
--- a/balsamhinge/policy/succession.py
+++ b/balsamhinge/policy/succession.py
@@ -6,7 +6,13 @@
 
 from balsamhinge.policy import routes
 
-__all__ = ["Evidence", "Verdict", "choose_successor", "judge"]
+__all__ = [
+    "Evidence",
+    "Verdict",
+    "choose_successor",
+    "is_spread",
+    "judge",
+]
 
 # A primary is given up after so long without any answer to the holder of
 # the duty: three times the longest statement of most, so that one slow
@@ -21,6 +27,13 @@
 GONE_HEARD_S = 2.5
 
 
+# A primary that most instances do not reach serves fewer callers than
+# another target would. Instances that come back from a cut tell old news
+# for one round of notes, 0.4 s.
+MOST_SILENT_SHARE = 0.5
+SPREAD_S = 0.6
+
+
 class Verdict(enum.StrEnum):
     """What is to be done about a group's primary."""
 
@@ -43,6 +56,8 @@
         Seconds for which it has failed to answer this instance.
     heard_s : float
         Seconds since it answered any instance.
+    spread_s : float
+        Seconds for which it has been silent to most instances that use it.
     """
 
     listed: bool
@@ -50,6 +65,18 @@
     gone_s: float
     silent_s: float
     heard_s: float
+    spread_s: float = 0.0
+
+
+def is_spread(silent, hearing):
+    """Return whether a primary is silent to most instances that use it.
+
+    Parameters
+    ----------
+    silent, hearing : int
+        Instances that it does not answer, and that it does.
+    """
+    return silent > MOST_SILENT_SHARE * (silent + hearing)
 
 
 def judge(evidence):
@@ -57,7 +84,7 @@
     silent = evidence.silent_s > SILENT_S and evidence.heard_s > HEARD_S
     if silent:
         return Verdict.REPLACE
-    if evidence.leaving:
+    if evidence.leaving or evidence.spread_s > SPREAD_S:
         return Verdict.SWITCH
     if not evidence.listed:
         if evidence.heard_s > HEARD_S:
--- a/balsamhinge/standins/records.py
+++ b/balsamhinge/standins/records.py
@@ -11,6 +11,8 @@
 
 # Changes that a watch may still ask for.
 HISTORY = 1000
+# Clocks do not advance by less than their resolution.
+LEAST_WAIT_S = 0.001
 
 
 @attrs.define
@@ -137,9 +139,10 @@
         until = loop.time() + wait_s
         while True:
             changes = self._records.since(kind, after)
-            if changes or loop.time() >= until:
+            left_s = until - loop.time()
+            if changes or left_s < LEAST_WAIT_S:
                 break
-            await self._records.changed(until - loop.time())
+            await self._records.changed(left_s)
         await self._reach()
         return links.Changes(changes, self._records.revision)
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -180,6 +180,41 @@
 
         self.run_fleet(scenario)
 
+    def test_a_primary_that_most_instances_do_not_reach_is_switched(self):
+        async def scenario(world):
+            names = sorted(world.fleets)
+            old = world.group.primary
+            callers = [world.caller(name, "posts") for name in names]
+            for caller in callers:
+                await caller.write("a", "0")
+            old.knobs.cut = set(names[:4])
+            writing = [write_until(caller, "a", "1") for caller in callers]
+            await asyncio.gather(*writing)
+            self.assertIsNot(old, world.group.primary)
+            kept = {entry.request_id for entry in world.group.primary.log}
+            for _at, request_id, _position in world.acknowledged:
+                self.assertIn(request_id, kept)
+
+        self.run_fleet(scenario)
+
+    def test_it_is_kept_while_no_other_target_has_its_commits(self):
+        async def scenario(world):
+            names = sorted(world.fleets)
+            old = world.group.primary
+            callers = [world.caller(name, "posts") for name in names]
+            for target in world.group.targets.values():
+                target.knobs.deaf = True
+            for caller in callers:
+                await caller.write("a", "0")
+            old.knobs.cut = set(names[:4])
+            for _round in range(30):
+                writing = [caller.write("a", "1") for caller in callers]
+                await asyncio.gather(*writing)
+                await asyncio.sleep(0.1)
+            self.assertEqual([], world.promotions)
+
+        self.run_fleet(scenario)
+
 
 class DutyTest(virtual.FleetTestCase):
     """One instance at a time changes primaries."""
@@ -214,6 +249,18 @@
 
         self.run_fleet(scenario)
 
+    def test_all_instances_learn_of_a_new_holder(self):
+        async def scenario(world):
+            old = holder(world).me.name
+            await world.kill(old)
+            await asyncio.sleep(4.0)
+            found = {one.duty.holder for one in world.fleets.values()}
+            self.assertEqual({holder(world).me.name}, found)
+            calm = [one.gossip.full_rounds for one in world.fleets.values()]
+            self.assertEqual([0] * 5, calm)
+
+        self.run_fleet(scenario)
+
     def test_starting_instances_leave_the_duty_where_it_is(self):
         async def scenario(world):
             before = world.records.kinds["leaders"]["duty"]
