--- a/balsamhinge/controllers/directory.py
+++ b/balsamhinge/controllers/directory.py
@@ -25,7 +25,7 @@
 RETURN_S = 2.0
 # Targets that start or leave together do so within about such a time; one
 # that leaves may get work for 7 s more. Each call is paid for.
-GATHER_S = 0.7
+GATHER_S = 1.5
 
 log = logbook.Logger(__name__)
 
--- a/balsamhinge/controllers/duty.py
+++ b/balsamhinge/controllers/duty.py
@@ -18,9 +18,9 @@
 POLL_S = 0.7
 # Others read the store themselves if notes bring nothing newer; by rank,
 # so that one of them is enough.
-OTHERS_AGE_S = 1.0
-RANK_S = 0.15
-MOST_RANK_S = 0.6
+OTHERS_AGE_S = 1.3
+RANK_S = 0.1
+MOST_RANK_S = 0.4
 STEP_S = 0.1
 # A reading that shows this instance as the holder entitles it to call
 # the platform for so long.
--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -15,9 +15,13 @@
 
 # Three exchanges fit into a lease after a reading of the store.
 INTERVAL_S = 0.38
-# In a large fleet the interval grows up to twice that: a reading and one
-# exchange still fit into a lease.
-LARGE_FLEET = 64
+# In a larger fleet only the holder of the duty is asked in each calm round,
+# and the others in one of so many.
+LARGE_FLEET = 16
+QUIET_ROUNDS = 4
+# For so long after its start an instance does not ask all: a fleet that
+# starts would exchange its new records between all pairs.
+SETTLE_S = 2.0
 # A peer that is reached answers within milliseconds; one that is late by
 # more is busy or cut off.
 CALL_S = 0.35
@@ -30,10 +34,12 @@
 # promises extend leases.
 MOST_PEERS = 16
 # Knowledge older than this, or a holder silent for so long, is trouble.
-TROUBLE_S = 0.9
+TROUBLE_S = 1.2
 # A peer that has not answered for so long is taken for silent: two
 # rounds.
 SILENT_S = 0.8
+# Above every revision of the store.
+NOTHING_NEWER = 2**63
 
 log = logbook.Logger(__name__)
 
@@ -53,6 +59,7 @@
         self.heard_at = {}
         self.last_notes = {}
         self.full_rounds = 0
+        self._round = 0
         self.far_heard_at = clock.now()
         self._asked = set()
         self._known_as_of = {}
@@ -60,19 +67,21 @@
     async def run(self):
         """Exchange notes for ever."""
         while True:
+            if not self._fleet.registered:
+                await clock.pause(INTERVAL_S / 4)
+                continue
             trouble = self._is_trouble()
             self.full_rounds = self.full_rounds + 1 if trouble else 0
             for member in self._choose(trouble):
                 if member.name not in self._asked:
                     self._fleet.spawn(self.ask(member))
-            size = len(self._fleet.leaders.member_records)
-            interval_s = INTERVAL_S * (1 + min(1.0, size / LARGE_FLEET))
-            if trouble:
-                interval_s = INTERVAL_S
-            await clock.pause(interval_s * self._rng.uniform(0.85, 1.15))
+            self._round += 1
+            await clock.pause(INTERVAL_S * self._rng.uniform(0.85, 1.15))
 
     def _is_trouble(self):
         fleet = self._fleet
+        if clock.now() - fleet.started_at < SETTLE_S:
+            return False
         age_s = fleet.leaders.book.age_s(fleet.links.boot_time())
         holder = fleet.duty.holder
         lost = holder != fleet.me.name and self.is_silent(holder)
@@ -84,12 +93,15 @@
         if trouble:
             return self._some(members, MOST_PEERS)
         holder = self._fleet.duty.holder
+        chosen = [m for m in members if m.name == holder]
+        large = len(members) > LARGE_FLEET
+        if large and chosen and self._round % QUIET_ROUNDS:
+            return chosen
         centre = self._fleet.me.data_centre
         near = [m for m in members if m.data_centre == centre]
         far = [
             m for m in members if m.data_centre != centre and m.name != holder
         ]
-        chosen = [m for m in members if m.name == holder]
         chosen += [m for m in self._some(near, NEAR_PEERS) if m not in chosen]
         return chosen + self._some(far, FAR_PEERS)
 
@@ -140,7 +152,9 @@
         fleet = self._fleet
         leaders = fleet.leaders
         now = fleet.links.boot_time()
-        known = self._known_as_of.get(receiver, 0)
+        # Whoever has not told yet what it knows gets no news: it asks for
+        # them, and a fleet that starts would send each record to all.
+        known = self._known_as_of.get(receiver, NOTHING_NEWER)
         seen = self.last_notes.get(receiver)
         table = fleet.directory.table
         news = [
--- a/balsamhinge/platform/daemon.py
+++ b/balsamhinge/platform/daemon.py
@@ -33,6 +33,9 @@
 GRACE_SHARE = 0.8
 # How often dropped log lines are counted in a line of their own.
 REPORT_DROPPED_S = 1.0
+# How often the calls to the store, which are paid for, are counted in a
+# line.
+REPORT_CALLS_S = 10.0
 
 log = logbook.Logger(__name__)
 
@@ -78,6 +81,11 @@
         metrics.observe_fleet(self.fleet)
         return metrics.render()
 
+    async def _report_calls(self):
+        calls = self._store.take_calls()
+        if calls:
+            logs.event(log.info, "store_calls", **calls)
+
     async def _report_dropped(self):
         logs.report_dropped(log.warning, self.log_handler)
 
@@ -96,6 +104,7 @@
         self.fleet.spawn(
             clock.run_forever(self._report_dropped, REPORT_DROPPED_S)
         )
+        self.fleet.spawn(clock.run_forever(self._report_calls, REPORT_CALLS_S))
         await self._callers.start(self._settings.callers)
         await self._readiness.start(self._settings.readiness)
         await self._stop.wait()
--- a/balsamhinge/platform/objects.py
+++ b/balsamhinge/platform/objects.py
@@ -1,5 +1,6 @@
 """The platform's store of objects, and what its objects mean."""
 
+import collections
 import urllib.parse
 
 from balsamhinge import exceptions
@@ -36,6 +37,7 @@
 
     def __init__(self, address):
         self._caller = http.HttpCaller(address)
+        self._calls = collections.Counter()
 
     async def list(self, kind):
         """See `RecordStore.list`."""
@@ -85,6 +87,7 @@
     async def _call(self, method, path, body=None, timeout_s=CALL_S):
         kind = path.removeprefix(PATH).split("?")[0].split("/")[1]
         call = "watch" if "?watch=" in path else method.lower()
+        self._calls[f"{call}_{kind}"] += 1
         try:
             response = await self._caller.call(
                 method, path, body, timeout_s=timeout_s
@@ -106,6 +109,11 @@
             f"{method} {path}: status {response.status}"
         )
 
+    def take_calls(self):
+        """Return how many calls were made by name, and forget it."""
+        calls, self._calls = self._calls, collections.Counter()
+        return calls
+
     def close(self):
         """Close the connections to the store."""
         self._caller.close()
--- a/tests/controllers/test_lending.py
+++ b/tests/controllers/test_lending.py
@@ -27,7 +27,6 @@
 
     def test_more_instances_than_connections_all_get_their_turn(self):
         async def scenario(world):
-            world.group.primary.most = 5
             world.configure()
             await asyncio.sleep(1.0)
             callers = [world.caller(name, "posts") for name in world.fleets]
@@ -39,4 +38,4 @@
                 self.assertEqual([], refused)
                 await asyncio.sleep(0.5)
 
-        self.run_fleet(scenario, instances=4)
+        self.run_fleet(scenario, instances=4, connections=5)
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -72,9 +72,12 @@
         In each data centre.
     groups : int
         How many groups; the first one has the callers' databases.
+    connections : int
+        Most connections to each target.
     """
 
-    def __init__(self, instances=2, groups=1):
+    def __init__(self, instances=2, groups=1, connections=23):
+        self.connections = connections
         self.records = records.Records()
         self.groups = {}
         self.fleets = {}
@@ -84,7 +87,9 @@
         self.offsets = {}
         for number in range(1, groups + 1):
             name = f"ladder-{number}"
-            self.groups[name] = replicas.ReplicaGroup(name, CENTRES)
+            self.groups[name] = replicas.ReplicaGroup(
+                name, CENTRES, most=connections
+            )
         self.members = [
             homes.Member(f"{centre}-{n}", f"{centre}-{n}:1", centre)
             for centre in CENTRES
@@ -115,7 +120,10 @@
                 priority=1,
             )
             found[database] = attrs.evolve(route, **changes)
-        limits = {name: routes.GroupLimits(name, 23) for name in self.groups}
+        limits = {
+            name: routes.GroupLimits(name, self.connections)
+            for name in self.groups
+        }
         return routes.RoutingTable(self.version, found, limits, 3.0)
 
     def configure(self, **changes):
