Soak of a fleet: random faults two at a time, history checked

Eleven kinds of faults on the virtual clock, 18 callers, singles and transactions; stale reads, doubled writes and refusals that were kept are looked for, and every instance has to write again afterwards.

--- /dev/null
+++ b/tests/soak.py
@@ -0,0 +1,419 @@
+"""Random faults, two at a time, on a fleet of the virtual clock.
+
+``python -m tests.soak --first 0 --seeds 100`` plays seeds and prints what
+broke; the tests of CI play a few.
+"""
+
+import argparse
+import asyncio
+import random
+import sys
+
+import attrs
+
+from balsamhinge.controllers import clock
+from balsamhinge import links
+from balsamhinge.policy import leases
+from balsamhinge.policy import routes
+from balsamhinge.policy import statements
+from tests.support import fleet
+from tests.support import world as virtual
+
+__all__ = ["Outcome", "play"]
+
+Access = statements.Access
+Direct = statements.Direct
+Problem = statements.Problem
+
+PLAY_S = 25.0
+HEAL_S = 14.0
+ITEMS = 4
+THINK_S = 0.06
+# A target takes so long to hear of another primary.
+STEP_DOWN_S = 1.0
+# Answers after which a write may have been kept.
+OPEN_PROBLEMS = {Problem.IN_DOUBT, Problem.TIMEOUT, Problem.FAILED}
+
+
+@attrs.frozen
+class Ask:
+    """One operation of a caller, and what it was told.
+
+    Parameters
+    ----------
+    session : str
+        Whose.
+    freshness : Freshness
+        Of its route.
+    request_id : str
+        Of the statement that reads, or that commits.
+    write : bool
+        Whether it changes data.
+    begun, ended : float
+        Loop seconds.
+    problem : Problem or None
+        None for success.
+    """
+
+    session: str
+    freshness: routes.Freshness
+    request_id: str
+    write: bool
+    begun: float
+    ended: float
+    problem: Problem | None
+
+
+@attrs.define
+class Outcome:
+    """What a seed came to."""
+
+    seed: int
+    asks: list = attrs.Factory(list)
+    faults: list = attrs.Factory(list)
+    broken: list = attrs.Factory(list)
+    lost: int = 0
+    promotions: int = 0
+
+
+class RunLog(list):
+    """A group's runs, with the commits that each of them saw."""
+
+    def __init__(self, group):
+        super().__init__()
+        self._group = group
+        self.entries = {}
+
+    def append(self, run):
+        """Add a run, and what its target's log held."""
+        super().append(run)
+        target = self._group.targets[run.target]
+        self.entries[run.request_id] = frozenset(
+            entry.request_id for entry in target.log[: target.applied]
+        )
+
+
+async def rejoin(group, target):
+    """Let a target hear of the present primary again."""
+    await asyncio.sleep(STEP_DOWN_S)
+    primary = group.primary
+    if target is primary:
+        group.replicate(target)
+        return
+    if target.term < primary.term:
+        target.role = routes.TargetRole.REPLICA
+    if target.role is routes.TargetRole.REPLICA:
+        target.follow(primary)
+
+
+class Soak:
+    """One seed's callers and faults."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(f"soak/{seed}")
+        self.outcome = Outcome(seed)
+        self.world = fleet.FleetWorld(instances=2)
+        self.world.group.runs = RunLog(self.world.group)
+        self._count = 0
+        self._playing = True
+
+    async def play(self):
+        """Play faults, heal everything, then check the history."""
+        world = self.world
+        await world.start()
+        await asyncio.sleep(leases.EXTENDED_S + 0.5)
+        callers = [
+            asyncio.ensure_future(self._call(member.name, database))
+            for member in world.members
+            for database in fleet.DATABASES
+        ]
+        ends_at = clock.now() + PLAY_S
+        faulting = [
+            asyncio.ensure_future(self._fault_until(ends_at)) for _ in "ab"
+        ]
+        await asyncio.gather(*faulting)
+        await asyncio.sleep(HEAL_S)
+        self._playing = False
+        await asyncio.gather(*callers)
+        await self._check_service()
+        self._check()
+        self.outcome.promotions = len(world.promotions)
+        await world.stop()
+        return self.outcome
+
+    # Callers.
+
+    async def _call(self, name, database):
+        """Ask one operation after the other, at one instance."""
+        while self._playing:
+            if name not in self.world.fleets:
+                await asyncio.sleep(0.2)
+                continue
+            caller = self.world.caller(name, database)
+            try:
+                await self._session(caller, database)
+            except asyncio.CancelledError:
+                if name in self.world.fleets:
+                    raise
+                # The instance was killed; nobody got an answer.
+
+    async def _session(self, caller, database):
+        for _operation in range(self.rng.randint(1, 6)):
+            if self.rng.random() < 0.25:
+                await self._transaction(caller, database)
+            else:
+                await self._single(caller, database)
+            await asyncio.sleep(self.rng.expovariate(1 / THINK_S))
+
+    async def _single(self, caller, database):
+        item = self.rng.randrange(ITEMS)
+        write = self.rng.random() < 0.4
+        text = f"i{item}"
+        if write:
+            self._count += 1
+            text += f" {self._count}"
+        access = Access.WRITE if write else Access.READ
+        begun = clock.now()
+        answer = await caller.ask(Direct(access, text))
+        self._note(caller, database, write, begun, answer)
+
+    async def _transaction(self, caller, database):
+        await caller.ask(statements.Begin())
+        wrote = False
+        for _statement in range(self.rng.randint(1, 3)):
+            item = self.rng.randrange(ITEMS)
+            self._count += 1
+            order = Direct(Access.WRITE, f"i{item} {self._count}")
+            answer = await caller.ask(order)
+            wrote = True
+            if answer.problem is not None:
+                break
+            await asyncio.sleep(self.rng.expovariate(1 / THINK_S))
+        if answer.problem is not None or self.rng.random() < 0.2:
+            await caller.ask(statements.Rollback())
+            return
+        begun = clock.now()
+        answer = await caller.ask(statements.Commit())
+        self._note(caller, database, wrote, begun, answer)
+        if answer.state is not statements.State.IDLE:
+            await caller.ask(statements.Rollback())
+
+    def _note(self, caller, database, write, begun, answer):
+        self.outcome.asks.append(
+            Ask(
+                session=caller.name,
+                freshness=fleet.DATABASES[database],
+                request_id=caller.last_id,
+                write=write,
+                begun=begun,
+                ended=clock.now(),
+                problem=answer.problem,
+            )
+        )
+
+    # Faults.
+
+    async def _fault_until(self, ends_at):
+        kinds = [
+            self._dark_target,
+            self._deaf_target,
+            self._cut_target,
+            self._cut_zone,
+            self._cut_instance,
+            self._store_down,
+            self._store_forgets,
+            self._kill,
+            self._suspend,
+            self._leave,
+            self._lose_answers,
+        ]
+        while clock.now() < ends_at:
+            await asyncio.sleep(self.rng.uniform(0.0, 2.0))
+            kind = self.rng.choice(kinds)
+            self.outcome.faults.append(
+                f"{clock.now():.3f} {kind.__name__.strip('_')}"
+            )
+            await kind()
+
+    def _target(self):
+        return self.rng.choice(list(self.world.group.targets.values()))
+
+    async def _for_a_while(self, most=6.0):
+        await asyncio.sleep(self.rng.uniform(0.2, most))
+
+    async def _dark_target(self):
+        target = self._target()
+        target.knobs.dark = True
+        await self._for_a_while()
+        target.knobs.dark = False
+        await rejoin(self.world.group, target)
+
+    async def _deaf_target(self):
+        target = self._target()
+        target.knobs.deaf = True
+        await self._for_a_while()
+        target.knobs.deaf = False
+        await rejoin(self.world.group, target)
+
+    async def _cut_target(self):
+        target = self._target()
+        names = [member.name for member in self.world.members]
+        cut = set(self.rng.sample(names, self.rng.randint(1, 5)))
+        target.knobs.cut |= cut
+        await self._for_a_while()
+        target.knobs.cut -= cut
+
+    async def _cut_zone(self):
+        self.world.cut_zone(self.rng.choice(fleet.CENTRES))
+        await self._for_a_while()
+        self.world.heal()
+
+    async def _cut_instance(self):
+        name = self.rng.choice(self.world.members).name
+        knobs = self.world.records.knobs
+        knobs.cut.add(name)
+        pairs = set()
+        if self.rng.random() < 0.5:
+            others = {member.name for member in self.world.members} - {name}
+            pairs = {frozenset((name, other)) for other in others}
+        self.world.cuts |= pairs
+        await self._for_a_while()
+        knobs.cut.discard(name)
+        self.world.cuts -= pairs
+
+    async def _store_down(self):
+        knobs = self.world.records.knobs
+        knobs.down = True
+        await self._for_a_while()
+        knobs.down = False
+
+    async def _store_forgets(self):
+        knobs = self.world.records.knobs
+        knobs.silent_watches = True
+        knobs.lose_answers = self.rng.randint(0, 2)
+        await self._for_a_while(1.5)
+        knobs.silent_watches = False
+        self.world.records.forget_history()
+
+    async def _kill(self):
+        member = self.rng.choice(self.world.members)
+        if member.name not in self.world.fleets:
+            return
+        await self.world.kill(member.name)
+        await self._for_a_while(2.0)
+        self.world.start_instance(member)
+
+    async def _suspend(self):
+        name = self.rng.choice(self.world.members).name
+        offsets = self.world.offsets
+        offsets[name] = offsets.get(name, 0.0) + self.rng.uniform(0.5, 6.0)
+
+    async def _leave(self):
+        target = self.world.group.primary
+        entry = target.entry()
+        self.world.records.put(
+            links.TARGETS, target.name, attrs.evolve(entry, leaving=True)
+        )
+        await self._for_a_while(4.0)
+        self.world.records.put(links.TARGETS, target.name, target.entry())
+
+    async def _lose_answers(self):
+        self._target().knobs.lose_answers = self.rng.randint(1, 3)
+
+    # Checks.
+
+    async def _check_service(self):
+        """Every instance writes again once all faults have ended."""
+        for name in self.world.fleets:
+            caller = self.world.caller(name, "posts")
+            for _try in range(40):
+                answer = await caller.write("last", name)
+                if answer.problem is None:
+                    break
+                await asyncio.sleep(0.1)
+            else:
+                self.outcome.broken.append(f"{name} does not serve: {answer}")
+
+    def _check(self):
+        group = self.world.group
+        kept = [entry.request_id for entry in group.primary.log]
+        for request_id in {one for one in kept if kept.count(one) > 1}:
+            self._break(f"{request_id} was kept twice")
+        kept = set(kept)
+        writes = [ask for ask in self.outcome.asks if ask.write]
+        acknowledged = [ask for ask in writes if ask.problem is None]
+        self.outcome.lost = sum(
+            ask.request_id not in kept for ask in acknowledged
+        )
+        for ask in writes:
+            refused = ask.problem and ask.problem not in OPEN_PROBLEMS
+            if refused and ask.request_id in kept:
+                self._break(f"{ask.request_id} was refused and kept")
+        lasting = [ask for ask in acknowledged if ask.request_id in kept]
+        entries = group.runs.entries
+        for ask in self.outcome.asks:
+            if ask.write or ask.problem is not None:
+                continue
+            for write in lasting:
+                if not _must_see(ask, write):
+                    continue
+                if write.request_id not in entries[ask.request_id]:
+                    self._break(
+                        f"{ask.request_id} ({ask.freshness.value}) "
+                        f"from {ask.begun:.3f} misses "
+                        f"{write.request_id} of {write.ended:.3f}"
+                    )
+
+    def _break(self, text):
+        self.outcome.broken.append(text)
+
+
+def _must_see(read, write):
+    """Return whether a read must show an acknowledged write."""
+    if write.ended >= read.begun:
+        return False
+    match read.freshness:
+        case routes.Freshness.LATEST:
+            return True
+        case routes.Freshness.SESSION if write.session == read.session:
+            return True
+    return write.ended < read.begun - fleet.MAX_AGE_S
+
+
+def play(seed):
+    """Return the `Outcome` of one seed."""
+
+    async def run():
+        return await Soak(seed).play()
+
+    return virtual.run_virtual(run())
+
+
+def main(argv=None):
+    """Play seeds; return 1 if anything broke."""
+    parser = argparse.ArgumentParser(
+        prog="tests.soak", description=__doc__.splitlines()[0]
+    )
+    parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--seeds", type=int, default=20)
+    args = parser.parse_args(argv)
+    red = 0
+    for seed in range(args.first, args.first + args.seeds):
+        outcome = play(seed)
+        served = sum(ask.problem is None for ask in outcome.asks)
+        print(
+            f"seed={seed} asks={len(outcome.asks)} served={served} "
+            f"promotions={outcome.promotions} lost={outcome.lost} "
+            f"broken={len(outcome.broken)}"
+        )
+        for text in outcome.broken[:5]:
+            print(f"  {text}")
+        if outcome.broken:
+            red += 1
+            print("  faults: " + "; ".join(outcome.faults))
+    print(f"{args.seeds} seeds, {red} red")
+    return 1 if red else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -1,6 +1,7 @@
 """A fleet on the virtual clock: instances, targets, store, callers."""
 
 import asyncio
+import itertools
 
 import attrs
 
@@ -15,8 +16,9 @@
 from balsamhinge.standins import records
 from balsamhinge.standins import replicas
 
-__all__ = ["CENTRES", "Caller", "FleetWorld"]
+__all__ = ["CENTRES", "DATABASES", "MAX_AGE_S", "Caller", "FleetWorld"]
 
+MAX_AGE_S = 1.5
 CENTRES = ("north", "central", "south")
 DELAY_S = 0.001
 DATABASES = {
@@ -78,6 +80,7 @@
 
     def __init__(self, instances=2, groups=1, connections=23):
         self.connections = connections
+        self.sessions = itertools.count(1)
         self.records = records.Records()
         self.groups = {}
         self.fleets = {}
@@ -114,7 +117,7 @@
                 database=database,
                 group=self.group.name,
                 freshness=freshness,
-                max_age_s=1.5,
+                max_age_s=MAX_AGE_S,
                 timeout_s=0.8,
                 aim_s=0.25,
                 priority=1,
@@ -212,12 +215,15 @@
     def __init__(self, world, instance, database):
         self._world = world
         self.session = session.Session(instance, database)
-        self._name = f"{instance.me.name}/{database}/{id(self):x}"
+        number = next(world.sessions)
+        self.name = f"{instance.me.name}/{database}/{number}"
+        self.last_id = ""
         self._count = 0
 
     def _id(self):
         self._count += 1
-        return f"{self._name}/{self._count}"
+        self.last_id = f"{self.name}/{self._count}"
+        return self.last_id
 
     async def ask(self, statement):
         """Return the answer to a statement."""
