Explain a request from logs; show the fleet; mend the tool's checks

balsamhingectl explain ID FILE... prints what touches a request, and what its instances believed anew of its group and targets before it, in time order. balsamhingectl fleet URL... shows instances, duty, primaries, positions and lag from a new /status page beside readiness and metrics.

Both daemons share one command line (entry.py) and all settings one loader (parsing.build_from); their copies are gone.

--- a/balsamhinge/configuration/checks.py
+++ b/balsamhinge/configuration/checks.py
@@ -2,7 +2,7 @@
 
 import graphlib
 
-__all__ = ["check_change", "check_plan"]
+__all__ = ["check_change", "check_plan", "list_known"]
 
 MOST_VOTERS = 3
 # Probes of three homes, one confirmation and one spare.
@@ -35,7 +35,7 @@
                 service.line,
                 section,
                 f"group {service.group} is unknown",
-                _known(plan.groups),
+                list_known(plan.groups),
             )
         for name in service.depends_on:
             if name not in plan.services:
@@ -43,7 +43,7 @@
                     service.line,
                     section,
                     f"depends on unknown service {name}",
-                    _known(plan.services),
+                    list_known(plan.services),
                 )
                 continue
             _check_shutdown(service, plan.services[name], found)
@@ -105,7 +105,7 @@
                     group.line,
                     section,
                     f"target {name} is unknown",
-                    _known(plan.targets),
+                    list_known(plan.targets),
                 )
             if name in owners:
                 found.add(
@@ -149,7 +149,10 @@
             )
 
 
-def _known(names):
+def list_known(names):
+    """Return the remedy that names what could have been meant."""
+    if not names:
+        return "none is known"
     return "known are: " + ", ".join(sorted(names))
 
 
--- a/balsamhinge/configuration/editing.py
+++ b/balsamhinge/configuration/editing.py
@@ -2,6 +2,7 @@
 
 import iniconfig
 
+from balsamhinge.configuration import checks
 from balsamhinge.configuration import findings
 from balsamhinge.configuration import plan
 from balsamhinge import exceptions
@@ -36,7 +37,7 @@
     if section not in ini:
         found = findings.FindingList("configuration")
         known = [name for name in ini.sections if name.startswith("target ")]
-        remedy = "known are: " + ", ".join(sorted(known))
+        remedy = checks.list_known(known)
         found.add(0, section, "the section is missing", remedy)
         raise exceptions.ConfigurationError(found.in_order())
     lines = text.splitlines()
--- a/balsamhinge/configuration/parsing.py
+++ b/balsamhinge/configuration/parsing.py
@@ -2,6 +2,7 @@
 
 import datetime
 import ipaddress
+import pathlib
 
 import iniconfig
 
@@ -12,8 +13,10 @@
 
 __all__ = [
     "SectionReader",
+    "build_from",
     "parse_plan",
     "read_ini",
+    "read_text",
     "reject_unknown_sections",
     "section_reader",
 ]
@@ -42,6 +45,46 @@
     -------
     Plan
 
+    Raises
+    ------
+    ConfigurationError
+        With every finding, if there is any.
+    """
+
+    def build(ini, found):
+        parsed = _parse_sections(ini, found)
+        checks.check_plan(parsed, found)
+        return parsed
+
+    return build_from(text, file, build)
+
+
+def read_text(path):
+    """Return the text in a file.
+
+    Raises
+    ------
+    ConfigurationError
+        If it is not UTF-8; names the line and the byte.
+    OSError
+    """
+    data = pathlib.Path(path).read_bytes()
+    try:
+        return data.decode("utf-8")
+    except UnicodeDecodeError as exc:
+        found = findings.FindingList(str(path))
+        found.add(
+            data.count(b"\n", 0, exc.start) + 1,
+            "",
+            f"byte {exc.start + 1} is not UTF-8",
+            "save the text as UTF-8",
+        )
+        raise exceptions.ConfigurationError(found.found) from exc
+
+
+def build_from(text, file, build):
+    """Return what `build(ini, found)` makes of an INI text.
+
     Raises
     ------
     ConfigurationError
@@ -49,12 +92,10 @@
     """
     found = findings.FindingList(file)
     ini = read_ini(text, found)
-    parsed = _parse_sections(ini, found) if ini else plan.Plan()
-    if ini:
-        checks.check_plan(parsed, found)
+    built = build(ini, found) if ini else None
     if found.found:
         raise exceptions.ConfigurationError(found.in_order())
-    return parsed
+    return built
 
 
 def read_ini(text, found):
--- a/balsamhinge/ctl.py
+++ b/balsamhinge/ctl.py
@@ -4,16 +4,17 @@
 import getpass
 import json
 import os
-import pathlib
 import sys
 import time
 import urllib.parse
 
+import attrs
 import httpx
 
 from balsamhinge.configuration import editing
 from balsamhinge.configuration import parsing
 from balsamhinge import exceptions
+from balsamhinge import explaining
 from balsamhinge import tables
 
 __all__ = ["main"]
@@ -26,16 +27,54 @@
 CALL_S = 35.0
 FOLLOW_S = 60.0
 POLL_S = 0.25
+# More findings than fit on a screen are counted instead of shown.
+MOST_FINDINGS = 50
 CONFLICT = 409
 UNPROCESSABLE = 422
 UNAVAILABLE = 503
 DEFAULT_URL = "http://127.0.0.1:8080"
 
+PROG = "balsamhingectl"
 EPILOG = """exit codes: 0 done; 1 refused or failed; 2 the text or the
 command line has findings, nothing was changed; 3 another edit came first,
 nothing was changed; 4 the instance or the store did not answer"""
 
 
+ALL_HELP = f"print every finding, not the first {MOST_FINDINGS} alone"
+FLEET_COLUMNS = [
+    "instance",
+    "data_centre",
+    "ready",
+    "isolated",
+    "configuration",
+    "duty",
+    "fence",
+    "knowledge_age_s",
+    "leases_s",
+]
+INSTANCE_COLUMNS = [
+    "name",
+    "data_centre",
+    "address",
+    "state",
+    "configuration",
+]
+GROUP_COLUMNS = [
+    "group",
+    "target",
+    "data_centre",
+    "role",
+    "state",
+    "epoch",
+    "changing",
+    "term",
+    "applied",
+    "behind",
+    "heard_s",
+    "silent_s",
+]
+
+
 class CallFailed(exceptions.BalsamhingeError):
     """A call to the instance failed.
 
@@ -119,7 +158,7 @@
 
 def check_configuration(args):
     """Check a text without an instance."""
-    text = pathlib.Path(args.file).read_text(encoding="utf-8")
+    text = parsing.read_text(args.file)
     parsed = parsing.parse_plan(text, args.file)
     counts = {
         "services": len(parsed.services),
@@ -134,7 +173,7 @@
 def apply_configuration(args):
     """Apply a text, and follow it until it is in force everywhere."""
     client = Client(args.url, args.token)
-    text = pathlib.Path(args.file).read_text(encoding="utf-8")
+    text = parsing.read_text(args.file)
     parsing.parse_plan(text, args.file)
     base = args.base
     if base is None:
@@ -275,10 +314,92 @@
     return EXIT_DONE
 
 
+def show_fleet(args):
+    """Print what instances of a fleet say of it, and of themselves."""
+    views, failures = [], []
+    for url in args.instances:
+        try:
+            views.append(get_fleet(url))
+        except CallFailed as exc:
+            failures.append(f"{url}: {exc}")
+    if args.format == "json":
+        print(json.dumps(views, indent=2))
+    else:
+        print(tables.render(views, FLEET_COLUMNS))
+        if views:
+            # What they say of the others is shown from one that has read
+            # the store last.
+            latest = min(views, key=knowledge_age_s)
+            print(f"\nas {latest['instance']} sees it:")
+            print(tables.render(latest["instances"], INSTANCE_COLUMNS))
+            print(tables.render(latest["groups"], GROUP_COLUMNS))
+    for failure in failures:
+        print(f"{PROG}: {failure}", file=sys.stderr)
+    return EXIT_UNREACHABLE if failures else EXIT_DONE
+
+
+def knowledge_age_s(view):
+    """Return the age of an instance's last reading of the store."""
+    age_s = view["knowledge_age_s"]
+    return float("inf") if age_s is None else age_s
+
+
+def get_fleet(url):
+    """Return what one instance says, see `show_fleet`."""
+    try:
+        response = httpx.get(f"{url}/status", timeout=CALL_S, trust_env=False)
+    except httpx.HTTPError as exc:
+        raise CallFailed(EXIT_UNREACHABLE, f"no answer: {exc}") from exc
+    if not response.is_success:
+        raise CallFailed(EXIT_FAILED, f"status {response.status_code}")
+    return response.json()
+
+
+def explain(args):
+    """Print what collected log lines say of one request."""
+    lines = []
+    for name in args.files:
+        with open(name, encoding="utf-8", errors="replace") as file:
+            found = (explaining.parse_line(text, name) for text in file)
+            lines += [line for line in found if line is not None]
+    told = explaining.story(lines, args.request_id)
+    if not told:
+        raise CallFailed(
+            EXIT_FAILED, f"{PROG}: no line names request {args.request_id}"
+        )
+    if args.format == "json":
+        print(json.dumps([attrs.asdict(line) for line in told], indent=2))
+        return EXIT_DONE
+    rows = [
+        {
+            "time": line.at,
+            "log": line.source,
+            "event": line.event,
+            "because": " ".join(f"{k}={v}" for k, v in line.fields.items()),
+        }
+        for line in told
+    ]
+    print(tables.render(rows, ["time", "log", "event", "because"]))
+    return EXIT_DONE
+
+
+def show_findings(findings, everything):
+    """Print findings; only the first of very many."""
+    shown = findings if everything else findings[:MOST_FINDINGS]
+    for finding in shown:
+        print(finding, file=sys.stderr)
+    if len(shown) < len(findings):
+        print(
+            f"{len(findings)} findings, {len(findings) - len(shown)} of them "
+            "not shown; --all shows them",
+            file=sys.stderr,
+        )
+
+
 def build_parser():
     """Return the parser of the command line."""
     parser = argparse.ArgumentParser(
-        prog="balsamhingectl",
+        prog=PROG,
         description="See and change a running system.",
         epilog=EPILOG,
     )
@@ -295,6 +416,16 @@
     commands = parser.add_subparsers(required=True, metavar="COMMAND")
     _add_configuration(commands)
     add(commands, "status", show_status)
+    fleet = add(commands, "fleet", show_fleet)
+    fleet.add_argument(
+        "instances",
+        nargs="+",
+        metavar="URL",
+        help="where an instance answers whether it is ready",
+    )
+    told = add(commands, "explain", explain)
+    told.add_argument("request_id", metavar="ID")
+    told.add_argument("files", nargs="+", metavar="FILE")
     target = subcommands(commands, "target")
     drain = add(target, "drain", drain_target)
     drain.add_argument("target")
@@ -313,8 +444,10 @@
     config = subcommands(commands, "config")
     check = add(config, "check", check_configuration)
     check.add_argument("file")
+    check.add_argument("--all", action="store_true", help=ALL_HELP)
     apply = add(config, "apply", apply_configuration)
     apply.add_argument("file")
+    apply.add_argument("--all", action="store_true", help=ALL_HELP)
     apply.add_argument(
         "--base", type=int, help="version that was edited (default: current)"
     )
@@ -341,13 +474,14 @@
     try:
         return args.run(args)
     except exceptions.ConfigurationError as exc:
-        print(exc, file=sys.stderr)
+        show_findings(exc.findings, getattr(args, "all", False))
         return EXIT_FINDINGS
     except CallFailed as exc:
         print(exc, file=sys.stderr)
         return exc.code
     except OSError as exc:
-        print(exc, file=sys.stderr)
+        problem = f"{exc.filename}: {exc.strerror}" if exc.filename else exc
+        print(f"{PROG}: {problem}", file=sys.stderr)
         return EXIT_FINDINGS
 
 
--- a/balsamhinge/daemon.py
+++ b/balsamhinge/daemon.py
@@ -1,6 +1,5 @@
 """balsamhinged: one entry instance."""
 
-import argparse
 import asyncio
 import signal
 import sys
@@ -10,7 +9,7 @@
 
 from balsamhinge.api import server as api_server
 from balsamhinge import core
-from balsamhinge import exceptions
+from balsamhinge import entry
 from balsamhinge import links
 from balsamhinge import logs
 from balsamhinge.peers import client as peer_client
@@ -21,9 +20,6 @@
 
 __all__ = ["Daemon", "main"]
 
-FAILED = 1
-BAD_SETTINGS = 2
-
 log = logbook.Logger(__name__)
 
 
@@ -102,36 +98,19 @@
 
 async def run_daemon(settings):
     """Run one instance until it is told to stop."""
+    logs.set_up(settings.log_level)
     await Daemon(settings).run()
 
 
 def main(argv=None):
     """Run the program; return its exit code."""
-    parser = argparse.ArgumentParser(
-        prog="balsamhinged", description="Run one entry instance."
+    return entry.run_program(
+        "balsamhinged",
+        "Run one entry instance.",
+        settings_module.Settings,
+        run_daemon,
+        argv,
     )
-    parser.add_argument("settings", help="path of the settings file")
-    parser.add_argument(
-        "--check", action="store_true", help="check the settings and end"
-    )
-    args = parser.parse_args(argv)
-    try:
-        settings = settings_module.Settings.from_file(args.settings)
-    except exceptions.ConfigurationError as exc:
-        print(exc, file=sys.stderr)
-        return BAD_SETTINGS
-    except OSError as exc:
-        print(f"{args.settings}: {exc.strerror}", file=sys.stderr)
-        return BAD_SETTINGS
-    if args.check:
-        return 0
-    logs.set_up(settings.log_level)
-    try:
-        asyncio.run(run_daemon(settings))
-    except (exceptions.BalsamhingeError, OSError, RuntimeError) as exc:
-        print(f"cannot run: {exc}", file=sys.stderr)
-        return FAILED
-    return 0
 
 
 if __name__ == "__main__":
--- a/balsamhinge/platform/daemon.py
+++ b/balsamhinge/platform/daemon.py
@@ -1,16 +1,17 @@
 """One instance on the users' platform: the edges around the controllers."""
 
-import argparse
 import asyncio
 import signal
 import sys
 import time
 
 import logbook
+import msgspec
 
 from balsamhinge.controllers import clock
-from balsamhinge import exceptions
+from balsamhinge import entry
 from balsamhinge import fleet
+from balsamhinge import fleetstatus
 from balsamhinge import links
 from balsamhinge import logs
 from balsamhinge import metrics
@@ -25,8 +26,6 @@
 
 __all__ = ["PlatformDaemon", "main"]
 
-FAILED = 1
-BAD_SETTINGS = 2
 # The balancer takes an instance out after two questions, a second apart.
 UNREADY_S = 2.2
 # Part of the grace time after which open work is cut.
@@ -73,7 +72,7 @@
         self._callers = callers.CallerServer(self.fleet)
         self._notes = peers.FleetServer(self.fleet.gossip.receive, trust)
         self._readiness = readiness.ReadinessServer(
-            lambda: self.fleet.ready, self._render_metrics
+            lambda: self.fleet.ready, self._render_metrics, self._render_status
         )
         self.log_handler = None
 
@@ -81,6 +80,9 @@
         metrics.observe_fleet(self.fleet)
         return metrics.render()
 
+    def _render_status(self):
+        return msgspec.json.encode(fleetstatus.describe(self.fleet))
+
     async def _report_calls(self):
         calls = self._store.take_calls()
         if calls:
@@ -132,38 +134,20 @@
         logs.event(log.notice, "stopped", seconds=time.monotonic() - begun)
 
 
-async def run_daemon(settings, log_handler=None):
+async def run_daemon(settings):
     """Run one instance until it is told to stop."""
+    handler = logs.set_up_bounded(settings.log_level, sys.stdout.fileno())
     instance = PlatformDaemon(settings)
-    instance.log_handler = log_handler
+    instance.log_handler = handler
     await instance.run()
 
 
 def main(argv=None):
     """Run the program; return its exit code."""
-    parser = argparse.ArgumentParser(
-        prog="balsamhinge.platform",
-        description="Run one instance on the users' platform.",
+    return entry.run_program(
+        "balsamhinge-platformd",
+        "Run one instance on the users' platform.",
+        settings_module.PlatformSettings,
+        run_daemon,
+        argv,
     )
-    parser.add_argument("settings", help="path of the settings file")
-    parser.add_argument(
-        "--check", action="store_true", help="check the settings and end"
-    )
-    args = parser.parse_args(argv)
-    try:
-        settings = settings_module.PlatformSettings.from_file(args.settings)
-    except exceptions.ConfigurationError as exc:
-        print(exc, file=sys.stderr)
-        return BAD_SETTINGS
-    except OSError as exc:
-        print(f"{args.settings}: {exc.strerror}", file=sys.stderr)
-        return BAD_SETTINGS
-    if args.check:
-        return 0
-    handler = logs.set_up_bounded(settings.log_level, sys.stdout.fileno())
-    try:
-        asyncio.run(run_daemon(settings, handler))
-    except (exceptions.BalsamhingeError, OSError, RuntimeError) as exc:
-        print(f"cannot run: {exc}", file=sys.stderr)
-        return FAILED
-    return 0
--- a/balsamhinge/platform/readiness.py
+++ b/balsamhinge/platform/readiness.py
@@ -8,24 +8,28 @@
 
 PATH = b"/balsamhinge/readiness"
 METRICS_PATH = b"/metrics"
+STATUS_PATH = b"/status"
 # A request of the balancer is far shorter.
 MOST_REQUEST_BYTES = 8192
 
 
 class ReadinessServer:
-    """Serves readiness and metrics on the loop.
+    """Serves readiness, metrics and the operators' view on the loop.
 
     Parameters
     ----------
     is_ready : callable
         Returns whether new connections should come here.
-    render_metrics : callable
-        Returns the metrics as bytes.
+    render_metrics, render_status : callable
+        Return a page as bytes.
     """
 
-    def __init__(self, is_ready, render_metrics):
+    def __init__(self, is_ready, render_metrics, render_status):
         self._is_ready = is_ready
-        self._render_metrics = render_metrics
+        self._pages = {
+            METRICS_PATH: render_metrics,
+            STATUS_PATH: render_status,
+        }
         self._server = None
 
     async def start(self, address):
@@ -39,8 +43,8 @@
         """Return the status code and the body for a path."""
         if path == PATH:
             return (200, b"ready") if self._is_ready() else (503, b"not ready")
-        if path == METRICS_PATH:
-            return 200, self._render_metrics()
+        if path in self._pages:
+            return 200, self._pages[path]()
         return 404, b"no such page"
 
     def stop(self):
--- a/balsamhinge/platform/settings.py
+++ b/balsamhinge/platform/settings.py
@@ -1,12 +1,8 @@
 """The settings of an instance on the users' platform, in INI."""
 
-import pathlib
-
 import attrs
 
-from balsamhinge.configuration import findings
 from balsamhinge.configuration import parsing
-from balsamhinge import exceptions
 from balsamhinge.logs import LEVELS
 from balsamhinge.policy import homes
 
@@ -57,13 +53,8 @@
         ConfigurationError
             With every finding.
         """
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-        found = findings.FindingList(str(path))
-        ini = parsing.read_ini(text, found)
-        settings = cls._from_ini(ini, found) if ini else None
-        if found.found:
-            raise exceptions.ConfigurationError(found.in_order())
-        return settings
+        text = parsing.read_text(path)
+        return parsing.build_from(text, str(path), cls._from_ini)
 
     @classmethod
     def _from_ini(cls, ini, found):
--- a/balsamhinge/settings.py
+++ b/balsamhinge/settings.py
@@ -4,9 +4,7 @@
 
 import attrs
 
-from balsamhinge.configuration import findings
 from balsamhinge.configuration import parsing
-from balsamhinge import exceptions
 from balsamhinge.logs import LEVELS
 from balsamhinge.peers import security
 from balsamhinge.policy import homes
@@ -107,18 +105,12 @@
         ConfigurationError
             With every finding.
         """
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-        return cls.from_text(text, str(path))
+        return cls.from_text(parsing.read_text(path), str(path))
 
     @classmethod
     def from_text(cls, text, file="settings"):
         """Return the settings in a text, see `from_file`."""
-        found = findings.FindingList(file)
-        ini = parsing.read_ini(text, found)
-        settings = cls._from_ini(ini, found) if ini else None
-        if found.found:
-            raise exceptions.ConfigurationError(found.in_order())
-        return settings
+        return parsing.build_from(text, file, cls._from_ini)
 
     @classmethod
     def _from_ini(cls, ini, found):
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -5,6 +5,7 @@
 
 import testtools
 
+from balsamhinge import ctl
 from balsamhinge import exceptions
 from balsamhinge.platform import daemon
 from balsamhinge.platform import objects
@@ -146,6 +147,19 @@
 
         self.run_platform(scenario)
 
+    def test_operators_see_the_fleet(self):
+        async def scenario(platform):
+            url = f"http://{platform.settings.readiness}"
+            seen = await asyncio.to_thread(ctl.get_fleet, url)
+            self.assertEqual("one", seen["instance"])
+            self.assertEqual("one", seen["duty"])
+            self.assertEqual(7, seen["configuration"])
+            self.assertEqual(3, len(seen["groups"]))
+            code = await asyncio.to_thread(ctl.main, ["fleet", url])
+            self.assertEqual(ctl.EXIT_DONE, code)
+
+        self.run_platform(scenario)
+
     def test_unknown_databases_and_entries(self):
         async def scenario(platform):
             lines = await standins.Lines.open(platform.settings.callers)
