Let few instances keep a target's connections and lend them

The host checks its own lease before each order, so a lease's promises hold on the way too. A read is one call; a write borrows first, so that a dead host leaves nothing in doubt.

Ruled out: a larger pause after a refusal; it leaves as many instances before as few connections.

--- a/balsamhinge/controllers/lending.py
+++ b/balsamhinge/controllers/lending.py
@@ -9,6 +9,7 @@
 from balsamhinge.controllers import clock
 from balsamhinge import exceptions
 from balsamhinge.logs import event
+from balsamhinge.policy import loans
 from balsamhinge.policy import statements
 
 __all__ = ["LendingController", "TargetPool"]
@@ -244,6 +245,8 @@
 
     Parameters
     ----------
+    me : Member
+        This instance.
     link : SessionTargetLink
         Opens connections.
     health : HealthController
@@ -254,7 +257,10 @@
         Knows the instances.
     """
 
-    def __init__(self, link, health, directory, leaders):
+    def __init__(self, me, link, health, directory, leaders):
+        self._me = me
+        self._ranked_for = None
+        self._ranked = {}
         self._link = link
         self._leaders = leaders
         self._health = health
@@ -265,25 +271,49 @@
         limits = self._directory.table.groups.get(group)
         return limits.connections if limits else 1
 
-    def kept(self, group):
-        """Return how many idle connections to each target are kept.
+    def hosts(self, target):
+        """Return the instances to ask for a target's connections.
 
-        Half of an equal share: when all instances lose power, targets
+        Those that keep them come first; empty where each instance opens
+        its own, see `policy.loans`.
+        """
+        members = self._leaders.members
+        if not loans.is_lent(self._limit(target.group), len(members)):
+            return []
+        if self._ranked_for is not members:
+            self._ranked_for = members
+            self._ranked = {}
+        key = target.name, target.data_centre
+        if key not in self._ranked:
+            self._ranked[key] = loans.rank_hosts(target, members.values())
+        return self._ranked[key]
+
+    def kept(self, target):
+        """Return how many idle connections to a target are kept.
+
+        Half of what may be open: when all instances lose power, targets
         count the connections of the dead ones for seconds, and the new
         ones need the other half.
         """
-        instances = max(1, len(self._leaders.member_records))
-        share = self._limit(group) // instances
+        limit = self._limit(target.group)
+        hosts = self.hosts(target)
+        if hosts:
+            if self._me not in hosts[: loans.HOSTS]:
+                return 0
+            return max(1, loans.connections_of_host(limit) // 2)
+        share = limit // max(1, len(self._leaders.members))
         return max(1, share // 2) if share else 0
 
-    def most(self, group):
-        """Return how many connections to one target may be open.
+    def most(self, target):
+        """Return how many connections to a target may be open.
 
         Demand is uneven, so an instance may open more than its share
         while others use less; the target's own limit refuses the rest.
         """
-        instances = max(1, len(self._leaders.member_records))
-        limit = self._limit(group)
+        limit = self._limit(target.group)
+        if self.hosts(target):
+            return loans.connections_of_host(limit)
+        instances = max(1, len(self._leaders.members))
         return max(1, min(limit, 3 * limit // instances))
 
     def pool(self, target):
@@ -301,7 +331,7 @@
             target,
             self._link,
             self._health,
-            lambda: self.most(target.group),
+            lambda: self.most(target),
         )
         self._pools[target.name] = pool
         return pool
@@ -317,7 +347,7 @@
                 del self._pools[name]
                 pool.close()
                 continue
-            pool.sweep(self.kept(pool.target.group))
+            pool.sweep(self.kept(pool.target))
 
     def close(self):
         """Close every pool."""
--- a/balsamhinge/fleet.py
+++ b/balsamhinge/fleet.py
@@ -21,6 +21,7 @@
 from balsamhinge.policy import leases
 from balsamhinge.policy import placement
 from balsamhinge.policy import statements
+from balsamhinge.sessions import hosting
 from balsamhinge.sessions import running
 
 __all__ = ["FleetInstance"]
@@ -66,8 +67,9 @@
             links_.boot_time,
         )
         self.lending = lending.LendingController(
-            links_.targets, self.health, self.directory, self.leaders
+            me, links_.targets, self.health, self.directory, self.leaders
         )
+        self.hosting = hosting.HostingController(self)
         self.gossip = gossip.GossipController(self)
         self.sampling = sampling.SamplingController(self)
         self.duty = duty.DutyController(self)
@@ -167,6 +169,7 @@
             self.duty.run,
             self.failover.run,
             self.sampling.run,
+            self.hosting.run_sweep,
             self._sweep_forever,
         ):
             self.spawn(self._keep_running(run))
--- a/balsamhinge/links.py
+++ b/balsamhinge/links.py
@@ -21,7 +21,7 @@
     "FleetLinks",
     "Links",
     "Listing",
-    "NotesLink",
+    "FleetPeers",
     "PeerLink",
     "PlatformList",
     "PromotionLink",
@@ -390,7 +390,7 @@
         """Return the `TargetReport` in an answer to `Status`, or None."""
 
 
-class NotesLink(abc.ABC):
+class FleetPeers(abc.ABC):
     """Calls that instances of a fleet make to each other."""
 
     @abc.abstractmethod
@@ -402,6 +402,34 @@
         PeerUnavailable
         """
 
+    @abc.abstractmethod
+    async def borrow(self, member, request, timeout_s):
+        """Send a `BorrowRequest`; return the `BorrowReply`.
+
+        Raises
+        ------
+        PeerUnavailable
+        """
+
+    @abc.abstractmethod
+    async def run(self, member, request, timeout_s):
+        """Send a `RunRequest`; return the `RunReply`.
+
+        Raises
+        ------
+        PeerUnavailable
+            The host may have run it.
+        """
+
+    @abc.abstractmethod
+    async def give_back(self, member, loan, usable, timeout_s):
+        """End a loan; its connection is dropped if it is not `usable`.
+
+        Raises
+        ------
+        PeerUnavailable
+        """
+
 
 @attrs.frozen
 class FleetLinks:
@@ -415,7 +443,7 @@
         The platform's means to change a primary.
     targets : SessionTargetLink
         Database targets.
-    peers : NotesLink
+    peers : FleetPeers
         Other instances.
     boot_time : callable
         Returns seconds that count on while the machine is suspended.
@@ -424,5 +452,5 @@
     store: RecordStore
     promotion: PromotionLink
     targets: SessionTargetLink
-    peers: NotesLink
+    peers: FleetPeers
     boot_time: object
--- a/balsamhinge/peers/fleet.py
+++ b/balsamhinge/peers/fleet.py
@@ -1,5 +1,7 @@
 """Calls between the instances of a fleet, by gRPC."""
 
+import asyncio
+
 import grpc
 import msgspec
 
@@ -7,9 +9,10 @@
 from balsamhinge import links
 from balsamhinge.peers.generated import peers_pb2
 from balsamhinge.peers.generated import peers_pb2_grpc
+from balsamhinge.policy import loans
 from balsamhinge.policy import notes
 
-__all__ = ["FleetServer", "GrpcNotes"]
+__all__ = ["FleetServer", "GrpcFleetPeers"]
 
 # A peer that was away is tried again soon: its knowledge renews leases.
 OPTIONS = (
@@ -17,10 +20,23 @@
     ("grpc.max_reconnect_backoff_ms", 500),
     ("grpc.enable_retries", 0),
 )
+NOTES = "notes"
+LOANS = "loans"
+# Seconds that calls under way on a channel that is given up may take.
+# Statements last 0.8 to 2 s at most by today's routes.
+GRACE_S = {NOTES: 0.0, LOANS: 2.0}
+
+
+def envelope(message):
+    """Return a message as it is sent."""
+    return peers_pb2.Envelope(body=msgspec.msgpack.encode(message))
 
 
-class GrpcNotes(links.NotesLink):
-    """Keeps a channel to each instance that is called.
+class GrpcFleetPeers(links.FleetPeers):
+    """Keeps channels to the instances that are called.
+
+    Notes and loans have channels of their own: a note that comes late
+    gives up its channel, and must not cut statements that are under way.
 
     Parameters
     ----------
@@ -31,57 +47,87 @@
     def __init__(self, security):
         self._security = security
         self._channels = {}
+        self._closing = set()
 
     async def exchange(self, member, note, timeout_s):
-        """See `NotesLink.exchange`."""
-        stub = self._stub(member)
-        body = msgspec.msgpack.encode(note)
+        """See `FleetPeers.exchange`."""
+        body = await self._call(
+            member, "Exchange", envelope(note), timeout_s, NOTES
+        )
+        return msgspec.msgpack.decode(body, type=notes.Note)
+
+    async def borrow(self, member, request, timeout_s):
+        """See `FleetPeers.borrow`."""
+        body = await self._call(
+            member, "Borrow", envelope(request), timeout_s, LOANS
+        )
+        return msgspec.msgpack.decode(body, type=loans.BorrowReply)
+
+    async def run(self, member, request, timeout_s):
+        """See `FleetPeers.run`."""
+        body = await self._call(
+            member, "Run", envelope(request), timeout_s, LOANS
+        )
+        return msgspec.msgpack.decode(body, type=loans.RunReply)
+
+    async def give_back(self, member, loan, usable, timeout_s):
+        """See `FleetPeers.give_back`."""
+        ended = peers_pb2.Loan(number=loan, usable=usable)
+        await self._call(member, "GiveBack", ended, timeout_s, LOANS)
+
+    async def _call(self, member, method, message, timeout_s, purpose):
+        stub = self._stub(member, purpose)
         try:
-            answer = await stub.Exchange(
-                peers_pb2.Envelope(body=body),
-                timeout=timeout_s,
-                metadata=self._security.metadata,
+            answer = await getattr(stub, method)(
+                message, timeout=timeout_s, metadata=self._security.metadata
             )
         except grpc.aio.AioRpcError as exc:
             # A connection that was cut in silence would be waited for
             # long after the cut has healed; a new one tells at once.
-            await self._drop(member.name)
+            self._drop(member.name, purpose)
             raise exceptions.PeerUnavailable(member.name, True) from exc
-        return msgspec.msgpack.decode(answer.body, type=notes.Note)
+        return answer.body
 
-    def _stub(self, member):
-        known = self._channels.get(member.name)
+    def _stub(self, member, purpose):
+        known = self._channels.get((member.name, purpose))
         if known is not None and known[0] == member.address:
             return known[2]
-        channel = self._security.open_channel(member.address, OPTIONS)
+        options = (*OPTIONS, ("balsamhinge.purpose", purpose))
+        channel = self._security.open_channel(member.address, options)
         stub = peers_pb2_grpc.FleetStub(channel)
-        self._channels[member.name] = member.address, channel, stub
+        self._channels[member.name, purpose] = member.address, channel, stub
         return stub
 
-    async def _drop(self, name):
-        known = self._channels.pop(name, None)
+    def _drop(self, name, purpose):
+        known = self._channels.pop((name, purpose), None)
         if known is not None:
-            await known[1].close()
+            task = asyncio.ensure_future(known[1].close(GRACE_S[purpose]))
+            self._closing.add(task)
+            task.add_done_callback(self._closing.discard)
 
     async def close(self):
         """Close every channel."""
-        for name in list(self._channels):
-            await self._drop(name)
+        for key in list(self._channels):
+            self._drop(*key)
+        await asyncio.gather(*self._closing)
 
 
 class FleetServer(peers_pb2_grpc.FleetServicer):
-    """Hands other instances' notes to the controllers.
+    """Hands other instances' calls to the controllers.
 
     Parameters
     ----------
     receive : callable
         Takes a `Note` and returns the answering one.
+    hosting : HostingController
+        Lends connections.
     security : PeerSecurity
         How instances recognise each other.
     """
 
-    def __init__(self, receive, security):
+    def __init__(self, receive, hosting, security):
         self._receive = receive
+        self._hosting = hosting
         self._security = security
         self._server = grpc.aio.server(options=OPTIONS)
         peers_pb2_grpc.add_FleetServicer_to_server(self, self._server)
@@ -96,12 +142,32 @@
         """Stop at once."""
         await self._server.stop(0)
 
-    async def Exchange(self, request, context):  # noqa: N802
-        """Compare notes with another instance."""
+    async def _require_secret(self, context):
         if not self._security.accepts(context.invocation_metadata()):
             await context.abort(
                 grpc.StatusCode.UNAUTHENTICATED, "wrong secret"
             )
+
+    async def Exchange(self, request, context):  # noqa: N802
+        """Compare notes with another instance."""
+        await self._require_secret(context)
         note = msgspec.msgpack.decode(request.body, type=notes.Note)
-        answer = self._receive(note)
-        return peers_pb2.Envelope(body=msgspec.msgpack.encode(answer))
+        return envelope(self._receive(note))
+
+    async def Borrow(self, request, context):  # noqa: N802
+        """Lend a connection to another instance."""
+        await self._require_secret(context)
+        asked = msgspec.msgpack.decode(request.body, type=loans.BorrowRequest)
+        return envelope(await self._hosting.lend(asked))
+
+    async def Run(self, request, context):  # noqa: N802
+        """Run a statement on a lent connection."""
+        await self._require_secret(context)
+        asked = msgspec.msgpack.decode(request.body, type=loans.RunRequest)
+        return envelope(await self._hosting.run(asked))
+
+    async def GiveBack(self, request, context):  # noqa: N802
+        """Take a lent connection back."""
+        await self._require_secret(context)
+        self._hosting.take_back(request.number, request.usable)
+        return peers_pb2.Envelope()
--- a/balsamhinge/platform/daemon.py
+++ b/balsamhinge/platform/daemon.py
@@ -58,7 +58,7 @@
         self._stop = asyncio.Event()
         trust = security.PeerSecurity("")
         self._store = objects.PlatformObjects(settings.store)
-        self._peers = peers.GrpcNotes(trust)
+        self._peers = peers.GrpcFleetPeers(trust)
         self.fleet = fleet.FleetInstance(
             settings.member,
             links.FleetLinks(
@@ -70,7 +70,9 @@
             ),
         )
         self._callers = callers.CallerServer(self.fleet)
-        self._notes = peers.FleetServer(self.fleet.gossip.receive, trust)
+        self._server = peers.FleetServer(
+            self.fleet.gossip.receive, self.fleet.hosting, trust
+        )
         self._readiness = readiness.ReadinessServer(
             lambda: self.fleet.ready, self._render_metrics, self._render_status
         )
@@ -101,7 +103,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        await self._notes.start(self._settings.member.address)
+        await self._server.start(self._settings.member.address)
         self.fleet.start()
         self.fleet.spawn(
             clock.run_forever(self._report_dropped, REPORT_DROPPED_S)
@@ -128,7 +130,7 @@
         await draining
         self._readiness.stop()
         await self.fleet.halt()
-        await self._notes.stop()
+        await self._server.stop()
         await self._peers.close()
         self._store.close()
         logs.event(log.notice, "stopped", seconds=time.monotonic() - begun)
--- /dev/null
+++ b/balsamhinge/sessions/hosting.py
@@ -0,0 +1,297 @@
+"""Connections that hosts keep and lend to other instances."""
+
+import itertools
+
+import attrs
+import logbook
+
+from balsamhinge.controllers import clock
+from balsamhinge import exceptions
+from balsamhinge.logs import event
+from balsamhinge.policy import homes
+from balsamhinge.policy import loans
+from balsamhinge.policy import statements
+from balsamhinge.sessions import running
+
+__all__ = ["HostingController"]
+
+State = statements.State
+# A loan that its borrower does not use is taken back after so long: the
+# answer that told of it was lost, as a borrower uses it at once.
+UNUSED_S = 1.0
+# Beyond the time after which an idle transaction is ended by its own
+# instance: that one has died.
+LEFT_S = 2.0
+SWEEP_S = 0.25
+# How long one host is waited for before the next one is asked; a queue
+# that is longer has the statement refused in the end.
+BORROW_S = 0.3
+# How long an answer of a host that is reached takes beyond that.
+ANSWER_S = 0.15
+# A host that did not answer is asked again after so long: a machine that
+# comes back does so within seconds.
+AVOID_S = 1.0
+GIVE_BACK_S = 0.5
+
+log = logbook.Logger(__name__)
+
+
+@attrs.define(eq=False)
+class Loan:
+    """A connection that another instance uses.
+
+    Parameters
+    ----------
+    workplace : Workplace
+        The connection.
+    used_at : float
+        Loop seconds of the last use.
+    running : bool
+        Whether a statement runs on it.
+    """
+
+    workplace: object
+    used_at: float = attrs.Factory(clock.now)
+    running: bool = False
+
+    @property
+    def idle_s(self):
+        """Return for how long nothing has run on it."""
+        return 0.0 if self.running else clock.now() - self.used_at
+
+
+class HostingController:
+    """Finds places at targets, at this instance or at a host.
+
+    Parameters
+    ----------
+    fleet : FleetInstance
+        The instance's controllers.
+    """
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self._numbers = itertools.count(1)
+        self._loans = {}
+        self._avoided_until = {}
+
+    # What this instance borrows.
+
+    async def workplace(self, target, until, patient=True, leadership=None):
+        """Return a place at a target for one statement or transaction.
+
+        Parameters
+        ----------
+        target : ServingTarget
+            Where.
+        until : float
+            Loop seconds after which nobody waits for it.
+        patient : bool
+            Whether to wait where the target's limit of connections is
+            met.
+        leadership : Leadership, optional
+            Under which the target is used as the primary.
+
+        Returns
+        -------
+        Workplace or RemoteWorkplace
+
+        Raises
+        ------
+        NotRunError
+            If there is none; nothing was sent.
+        """
+        hosts = self._fleet.lending.hosts(target)
+        if not hosts or self._fleet.me in hosts[: loans.HOSTS]:
+            return await self._own(target, until, patient, leadership)
+        host = self._choose(hosts)
+        request = loans.BorrowRequest(
+            target=target.name,
+            epoch=leadership.epoch if leadership else 0,
+            patience_s=min(BORROW_S, max(0.0, until - clock.now())),
+            patient=patient,
+        )
+        if leadership is None:
+            # A read may run twice, so it needs no call of its own to
+            # borrow; see `RemoteWorkplace.ask`.
+            return running.RemoteWorkplace(
+                self._fleet, target, host, borrow=request
+            )
+        loan = await self._borrow(host, request)
+        if not self._fleet.leaders.holds(leadership):
+            self.end(host, loan, usable=True)
+            raise running.LeaseLost("the primary's lease has lapsed")
+        self._fleet.leaders.enter(leadership)
+        return running.RemoteWorkplace(
+            self._fleet, target, host, loan=loan, leadership=leadership
+        )
+
+    async def _own(self, target, until, patient, leadership):
+        pool = self._fleet.lending.pool(target)
+        lent = await pool.borrow(until, patient)
+        if leadership is not None:
+            if not self._fleet.leaders.holds(leadership):
+                pool.give_back(lent)
+                raise running.LeaseLost("the primary's lease has lapsed")
+            self._fleet.leaders.enter(leadership)
+        return running.Workplace(self._fleet, pool, lent, leadership)
+
+    def _choose(self, hosts):
+        """Return the host to ask: each borrower keeps to one that answers."""
+        now = clock.now()
+        usable = [
+            host
+            for host in hosts
+            if self._avoided_until.get(host.name, 0.0) <= now
+        ][: loans.HOSTS]
+        found = usable or hosts[: loans.HOSTS]
+        return homes.rank(found, self._fleet.me.name)[0]
+
+    async def _borrow(self, host, request):
+        try:
+            reply = await self._fleet.links.peers.borrow(
+                host, request, request.patience_s + ANSWER_S
+            )
+        except exceptions.PeerUnavailable as exc:
+            self.avoid(host)
+            raise exceptions.NotRunError(
+                f"host {host.name} of {request.target} does not answer"
+            ) from exc
+        if not reply.loan:
+            raise exceptions.NotRunError(f"host {host.name}: {reply.detail}")
+        return reply.loan
+
+    def avoid(self, host):
+        """Ask other hosts for a while instead of one."""
+        now = clock.now()
+        if self._avoided_until.get(host.name, 0.0) <= now:
+            event(log.notice, "host_avoided", host=host.name, seconds=AVOID_S)
+        self._avoided_until[host.name] = now + AVOID_S
+
+    def end(self, host, loan, usable):
+        """Tell a host that a loan has ended."""
+
+        async def give_back():
+            try:
+                await self._fleet.links.peers.give_back(
+                    host, loan, usable, GIVE_BACK_S
+                )
+            except exceptions.PeerUnavailable as exc:
+                # The host takes it back by itself in the end.
+                event(log.info, "loan_not_ended", host=host.name, error=exc)
+
+        self._fleet.spawn(give_back())
+
+    # What this instance lends.
+
+    async def run_sweep(self):
+        """Take back what borrowers have left, for ever."""
+        await clock.run_forever(self._sweep, SWEEP_S)
+
+    async def _sweep(self):
+        idle_s = self._fleet.directory.table.idle_transaction_s + LEFT_S
+        for number, loan in list(self._loans.items()):
+            unused = loan.workplace.state is State.IDLE
+            if loan.idle_s > (UNUSED_S if unused else idle_s):
+                event(
+                    log.notice,
+                    "loan_left",
+                    target=loan.workplace.target.name,
+                    idle_s=loan.idle_s,
+                )
+                self.take_back(number, usable=unused)
+
+    async def lend(self, request):
+        """Return the `BorrowReply` to a `BorrowRequest`."""
+        try:
+            workplace = await self._find(request)
+        except exceptions.NotRunError as exc:
+            return loans.BorrowReply(detail=str(exc))
+        number = next(self._numbers)
+        self._loans[number] = Loan(workplace)
+        return loans.BorrowReply(number)
+
+    async def _find(self, request):
+        fleet = self._fleet
+        if fleet.stopping:
+            raise exceptions.NotRunError("the host is about to stop")
+        target = fleet.directory.targets.get(request.target)
+        if target is None:
+            raise exceptions.NotRunError("the host does not list the target")
+        leadership = None
+        if request.epoch:
+            leadership = fleet.leaders.leader(target.group)
+            if leadership is None or leadership.epoch != request.epoch:
+                raise running.LeaseLost("the host may not use the primary")
+        until = clock.now() + request.patience_s
+        return await self._own(target, until, request.patient, leadership)
+
+    async def run(self, request):
+        """Return the `RunReply` to a `RunRequest`."""
+        number = request.loan
+        if not number:
+            lent = await self.lend(request.borrow)
+            number = lent.loan
+            if not number:
+                return loans.RunReply(detail=lent.detail)
+        loan = self._loans.get(number)
+        if loan is None or loan.running:
+            return loans.RunReply(detail="the loan has ended")
+        loan.running = True
+        usable = False
+        try:
+            answer = await self._run(loan.workplace, request)
+            usable = answer.state is State.IDLE
+        except exceptions.NotRunError as exc:
+            return loans.RunReply(detail=str(exc))
+        except exceptions.TargetError as exc:
+            return loans.RunReply(may_have_run=True, detail=str(exc))
+        finally:
+            loan.running = False
+            loan.used_at = clock.now()
+            if loan.workplace.state is not State.OPEN:
+                self.take_back(number, usable)
+        kept = number if number in self._loans else 0
+        return loans.RunReply(answer, kept)
+
+    async def _run(self, workplace, request):
+        until = clock.now() + request.patience_s
+        order = loans.unpack(request)
+        inside = workplace.state is State.OPEN
+        workplace.state = State.IDLE
+        await workplace.align(request.values, request.prepared, until)
+        await self._check(workplace, order.statement, inside, until)
+        answer = await workplace.ask(order, until)
+        workplace.state = answer.state
+        if answer.problem is statements.Problem.UNKNOWN_NAME:
+            workplace.forget_prepared()
+        return answer
+
+    async def _check(self, workplace, statement, inside, until):
+        """Check that the target may still be used as the primary.
+
+        As the borrower did before it asked; this instance's own lease
+        covers the time since then.
+        """
+        leaders = self._fleet.leaders
+        leadership = workplace.leadership
+        if leadership is None:
+            return
+        match statement:
+            case statements.Rollback():
+                return
+            case statements.Commit():
+                may = await leaders.outlasts(leadership, until)
+            case _ if inside:
+                may = not leaders.has_left(leadership)
+            case _:
+                may = leaders.holds(leadership)
+        if not may:
+            raise running.LeaseLost("the host may not use the primary")
+
+    def take_back(self, number, usable):
+        """End a loan."""
+        loan = self._loans.pop(number, None)
+        if loan is not None:
+            idle = not loan.running and loan.workplace.state is State.IDLE
+            loan.workplace.release(usable and idle)
--- a/balsamhinge/sessions/placing.py
+++ b/balsamhinge/sessions/placing.py
@@ -14,7 +14,7 @@
 from balsamhinge.policy import statements
 from balsamhinge.sessions import running
 
-__all__ = ["NOT_RUN", "Ask", "LeaseLost", "Placing"]
+__all__ = ["NOT_RUN", "Ask", "Placing"]
 
 Answer = statements.Answer
 Problem = statements.Problem
@@ -44,10 +44,6 @@
 log = logbook.Logger(__name__)
 
 
-class LeaseLost(exceptions.NotRunError):
-    """The primary may not be used any more; nothing was sent."""
-
-
 @attrs.define(eq=False)
 class Ask:
     """One request for a target.
@@ -157,13 +153,9 @@
         target = self._fleet.directory.targets.get(leadership.target)
         if target is None:
             raise exceptions.NotRunError("the primary is not listed")
-        pool = self._fleet.lending.pool(target)
-        lent = await pool.borrow(ask.until)
-        if not self._fleet.leaders.holds(leadership):
-            pool.give_back(lent)
-            raise LeaseLost("the primary's lease has lapsed")
-        self._fleet.leaders.enter(leadership)
-        return running.Workplace(self._fleet, pool, lent, leadership)
+        return await self._fleet.hosting.workplace(
+            target, ask.until, leadership=leadership
+        )
 
     def needed(self, ask):
         """Return what a target must hold for a read, or None.
@@ -264,13 +256,13 @@
         target = self._fleet.directory.targets.get(name)
         if target is None:
             return None
-        pool = self._fleet.lending.pool(target)
         try:
-            lent = await pool.borrow(ask.until, patient=False)
+            workplace = await self._fleet.hosting.workplace(
+                target, ask.until, patient=False
+            )
         except exceptions.NotRunError as exc:
             ask.note(name, exc)
             return None
-        workplace = running.Workplace(self._fleet, pool, lent)
         return await self._one(ask, attempt, workplace, needed, keep)
 
     async def _one(self, ask, attempt, workplace, needed, keep):
@@ -291,7 +283,7 @@
         workplace.release(usable=answer.state is State.IDLE)
         ask.note(name, answer.problem.value if answer.problem else "state")
         if answer.problem is Problem.UNKNOWN_NAME:
-            workplace.lent.prepared.clear()
+            workplace.forget_prepared()
         return None
 
 
@@ -300,5 +292,5 @@
     if task.cancelled() or task.exception() is not None:
         return
     found = task.result()
-    if isinstance(found, running.Workplace):
+    if isinstance(found, running.Workplace | running.RemoteWorkplace):
         found.release(usable=False)
--- a/balsamhinge/sessions/running.py
+++ b/balsamhinge/sessions/running.py
@@ -6,15 +6,26 @@
 
 from balsamhinge.controllers import clock
 from balsamhinge import exceptions
+from balsamhinge.policy import loans
 from balsamhinge.policy import statements
 
-__all__ = ["Misaligned", "Workplace", "align", "shared_name"]
+__all__ = [
+    "LeaseLost",
+    "Misaligned",
+    "RemoteWorkplace",
+    "Workplace",
+    "shared_name",
+]
 
 # The longest wait for a target to take over session values: it runs
 # nothing for them.
 ALIGN_S = 0.5
 
 
+class LeaseLost(exceptions.NotRunError):
+    """The primary may not be used any more; nothing was sent."""
+
+
 class Misaligned(exceptions.NotRunError):
     """A connection could not be given the session's values."""
 
@@ -33,12 +44,16 @@
         The connection.
     leadership : Leadership or None
         Under which the target is used as the primary, if it is.
+    state : State
+        Where its connection stood after the last statement of another
+        instance.
     """
 
     fleet: object
     pool: object
     lent: object
     leadership: object = None
+    state: statements.State = statements.State.IDLE
     released: bool = False
 
     @property
@@ -46,6 +61,53 @@
         """Return the `ServingTarget` that the connection leads to."""
         return self.pool.target
 
+    @property
+    def outstanding(self):
+        """Return how many orders have no answer yet."""
+        return self.lent.conn.outstanding
+
+    def forget_prepared(self):
+        """Prepare statements anew: the target has lost them."""
+        self.lent.prepared.clear()
+
+    async def align(self, values, prepared, until):
+        """Give the connection the session's values and one statement.
+
+        Parameters
+        ----------
+        values : dict of str to str
+            The session's values.
+        prepared : Prepare or None
+            What the next order executes.
+        until : float
+            Loop seconds until which it may take.
+
+        Raises
+        ------
+        Misaligned
+            If the target did not take them; the order was not sent.
+        """
+        lent = self.lent
+        needed = missing(lent, values, prepared)
+        if not needed:
+            return
+        futures = []
+        try:
+            for statement in needed:
+                futures.append(self.send(statements.Order(statement)))
+            until = min(until, clock.now() + ALIGN_S)
+            async with asyncio.timeout_at(until):
+                answers = [await asyncio.shield(fut) for fut in futures]
+        except (TimeoutError, exceptions.TargetError) as exc:
+            raise Misaligned("the session's values were not taken") from exc
+        if any(answer.problem for answer in answers):
+            raise Misaligned("the target refused the session's values")
+        lent.values = dict(values)
+        if isinstance(needed[0], statements.Reset):
+            lent.prepared = set()
+        if prepared is not None:
+            lent.prepared.add(shared_name(prepared))
+
     async def ask(self, order, until):
         """Send an order and return the target's `Answer`.
 
@@ -100,6 +162,117 @@
             self.pool.drop(self.lent)
 
 
+@attrs.define(eq=False)
+class RemoteWorkplace:
+    """A connection that a host runs one statement or transaction on.
+
+    Parameters
+    ----------
+    fleet : FleetInstance
+        The instance's controllers.
+    target : ServingTarget
+        Where the connection leads.
+    host : Member
+        The instance that keeps it.
+    loan : int
+        Its number there; 0 if there is none now.
+    borrow : BorrowRequest or None
+        What is borrowed with the first statement.
+    leadership : Leadership or None
+        Under which the target is used as the primary, if it is.
+    """
+
+    fleet: object
+    target: object
+    host: object
+    loan: int = 0
+    borrow: object = None
+    leadership: object = None
+    outstanding: int = 0
+    released: bool = False
+    _values: dict = attrs.Factory(dict)
+    _prepared: object = None
+
+    async def align(self, values, prepared, until):
+        """Have the host align its connection before the next order."""
+        self._values = dict(values)
+        self._prepared = prepared
+
+    def forget_prepared(self):
+        """Do nothing: the host knows what its connection lost."""
+
+    async def ask(self, order, until):
+        """Have the host run an order; return the target's `Answer`.
+
+        Raises
+        ------
+        NotRunError
+            Nothing was sent to the target.
+        AnswerLost
+            No answer came; the order may have run.
+        """
+        patience_s = until - clock.now()
+        if patience_s <= 0:
+            raise exceptions.NotRunError("no time is left")
+        name, fields = loans.pack(order.statement)
+        request = loans.RunRequest(
+            loan=self.loan,
+            borrow=None if self.loan else self.borrow,
+            statement=name,
+            fields=fields,
+            request_id=order.request_id,
+            needed=order.needed,
+            values=self._values,
+            prepared=self._prepared,
+            patience_s=patience_s,
+        )
+        asked_at = self.fleet.links.boot_time()
+        health, target = self.fleet.health, self.target.name
+        health.sent(target, order, clock.now())
+        self.outstanding += 1
+        answer = None
+        try:
+            answer = await self._run(request, patience_s)
+        finally:
+            self.outstanding -= 1
+            if answer is None:
+                health.unanswered(target, order)
+        health.answered(target, order, answer, clock.now())
+        if self.leadership is not None and answer.position is not None:
+            self.fleet.leaders.sample(
+                self.leadership, asked_at, answer.position
+            )
+        return answer
+
+    async def _run(self, request, patience_s):
+        try:
+            reply = await self.fleet.links.peers.run(
+                self.host, request, patience_s
+            )
+        except exceptions.PeerUnavailable as exc:
+            self.fleet.hosting.avoid(self.host)
+            raise exceptions.AnswerLost(
+                f"no answer of host {self.host.name}"
+            ) from exc
+        self.loan = reply.loan
+        if reply.answer is not None:
+            return reply.answer
+        detail = f"host {self.host.name}: {reply.detail}"
+        if reply.may_have_run:
+            raise exceptions.AnswerLost(detail)
+        raise exceptions.NotRunError(detail)
+
+    def release(self, usable=True):
+        """End the loan, where the host has not done so by itself."""
+        if self.released:
+            return
+        self.released = True
+        if self.leadership is not None:
+            self.fleet.leaders.leave(self.leadership)
+        if self.loan:
+            self.fleet.hosting.end(self.host, self.loan, usable)
+
+
 def shared_name(prepared):
     """Return the name of a prepared statement on shared connections.
 
@@ -128,44 +301,3 @@
             )
         )
     return found
-
-
-async def align(workplace, values, prepared, until):
-    """Give a connection the session's values and one prepared statement.
-
-    Parameters
-    ----------
-    workplace : Workplace
-        The connection.
-    values : dict of str to str
-        The session's values.
-    prepared : Prepare or None
-        What the next order executes.
-    until : float
-        Loop seconds until which it may take.
-
-    Raises
-    ------
-    Misaligned
-        If the target did not take them; the order was not sent.
-    """
-    lent = workplace.lent
-    needed = missing(lent, values, prepared)
-    if not needed:
-        return
-    futures = []
-    try:
-        for statement in needed:
-            futures.append(workplace.send(statements.Order(statement)))
-        until = min(until, clock.now() + ALIGN_S)
-        async with asyncio.timeout_at(until):
-            answers = [await asyncio.shield(fut) for fut in futures]
-    except (TimeoutError, exceptions.TargetError) as exc:
-        raise Misaligned("the session's values were not taken") from exc
-    if any(answer.problem for answer in answers):
-        raise Misaligned("the target refused the session's values")
-    lent.values = dict(values)
-    if isinstance(needed[0], statements.Reset):
-        lent.prepared = set()
-    if prepared is not None:
-        lent.prepared.add(shared_name(prepared))
--- a/balsamhinge/sessions/session.py
+++ b/balsamhinge/sessions/session.py
@@ -168,7 +168,7 @@
         if transaction is None or transaction.workplace is None:
             return
         workplace = transaction.workplace
-        if not usable or workplace.lent.conn.outstanding:
+        if not usable or workplace.outstanding:
             workplace.release(usable=False)
             return
         self._fleet.spawn(self._undo(workplace))
@@ -231,7 +231,7 @@
         """Run a read of its own; it may be tried at several targets."""
 
         async def attempt(workplace, needed):
-            await running.align(workplace, self._values, prepared, ask.until)
+            await workplace.align(self._values, prepared, ask.until)
             self._check_lease(workplace)
             order = self._order(ask.request_id, statement, prepared, needed)
             return await workplace.ask(order, ask.until)
@@ -247,7 +247,7 @@
         if leadership is None:
             return
         if not self._fleet.leaders.holds(leadership):
-            raise placing.LeaseLost("the primary's lease has lapsed")
+            raise running.LeaseLost("the primary's lease has lapsed")
 
     async def _write_once(self, ask, statement, prepared):
         """Run a write of its own; sent once, unless it surely did not run."""
@@ -277,7 +277,7 @@
             return answer
 
     async def _try_write(self, workplace, ask, statement, prepared):
-        await running.align(workplace, self._values, prepared, ask.until)
+        await workplace.align(self._values, prepared, ask.until)
         self._check_lease(workplace)
         order = self._order(ask.request_id, statement, prepared)
         answer = await workplace.ask(order, ask.until)
@@ -328,7 +328,7 @@
         if self._has_left(workplace):
             return self._aborted(ask, "the group gets another primary")
         try:
-            await running.align(workplace, self._values, prepared, ask.until)
+            await workplace.align(self._values, prepared, ask.until)
             if access is Access.WRITE:
                 transaction.wrote = True
             order = self._order(request_id, statement, prepared)
@@ -392,7 +392,7 @@
         """Open the transaction at a target; return a refusal or None."""
 
         async def attempt(workplace, needed):
-            await running.align(workplace, self._values, None, ask.until)
+            await workplace.align(self._values, None, ask.until)
             self._check_lease(workplace)
             begin = statements.Begin(transaction.read_only)
             order = statements.Order(begin, "", needed)
@@ -440,7 +440,7 @@
         order = statements.Order(statement, request_id)
         sent = False
         try:
-            await running.align(workplace, self._values, None, ask.until)
+            await workplace.align(self._values, None, ask.until)
             if transaction.wrote and not await self._fleet.leaders.outlasts(
                 workplace.leadership, ask.until
             ):
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -30,26 +30,57 @@
 Access = statements.Access
 
 
-class WorldNotes(links.NotesLink):
-    """Carries notes between the instances of a world."""
+class WorldPeers(links.FleetPeers):
+    """Carries calls between the instances of a world."""
 
     def __init__(self, world, instance):
         self._world = world
         self._instance = instance
 
     async def exchange(self, member, note, timeout_s):
-        """See `NotesLink.exchange`."""
+        """See `FleetPeers.exchange`."""
+        receiver = await self._reach(member, timeout_s)
+        answer = receiver.gossip.receive(note)
+        await asyncio.sleep(DELAY_S)
+        return answer
+
+    async def borrow(self, member, request, timeout_s):
+        """See `FleetPeers.borrow`."""
+        receiver = await self._reach(member, timeout_s)
+        lending = receiver.hosting.lend(request)
+        return await self._answer(member, lending, timeout_s)
+
+    async def run(self, member, request, timeout_s):
+        """See `FleetPeers.run`."""
+        receiver = await self._reach(member, timeout_s)
+        running = receiver.hosting.run(request)
+        return await self._answer(member, running, timeout_s)
+
+    async def give_back(self, member, loan, usable, timeout_s):
+        """See `FleetPeers.give_back`."""
+        receiver = await self._reach(member, timeout_s)
+        receiver.hosting.take_back(loan, usable)
+
+    async def _reach(self, member, timeout_s):
         await asyncio.sleep(DELAY_S)
-        pair = {self._instance, member.name}
         receiver = self._world.fleets.get(member.name)
         if receiver is None:
             raise exceptions.PeerUnavailable(member.name, True)
-        if self._world.is_cut(*pair):
+        if self._world.is_cut(self._instance, member.name):
             await asyncio.sleep(timeout_s)
             raise exceptions.PeerUnavailable(member.name, True)
-        answer = receiver.gossip.receive(note)
+        return receiver
+
+    async def _answer(self, member, answering, timeout_s):
+        """Return what a peer answers; it is lost if the two are cut."""
+        task = asyncio.ensure_future(answering)
+        done, _ = await asyncio.wait([task], timeout=timeout_s)
+        gone = member.name not in self._world.fleets
+        if not done or gone or self._world.is_cut(self._instance, member.name):
+            task.cancel()
+            raise exceptions.PeerUnavailable(member.name, True)
         await asyncio.sleep(DELAY_S)
-        return answer
+        return task.result()
 
 
 class WorldPromotion(links.PromotionLink):
@@ -152,7 +183,7 @@
             store=self.records.link(member.name),
             promotion=WorldPromotion(self),
             targets=replicas.ReplicaTargetLink(self.groups, member.name),
-            peers=WorldNotes(self, member.name),
+            peers=WorldPeers(self, member.name),
             boot_time=boot_time,
         )
         started = fleet.FleetInstance(member, outside)
