--- a/balsamhinge/controllers/duty.py
+++ b/balsamhinge/controllers/duty.py
@@ -110,6 +110,9 @@
             return True
         leaders = self._fleet.leaders
         age_s = leaders.book.age_s(self._fleet.links.boot_time())
+        if age_s <= OTHERS_AGE_S:
+            # Asked ten times a second; ranks take a look at each instance.
+            return False
         patience = min(MOST_RANK_S, RANK_S * self._rank())
         return age_s > OTHERS_AGE_S + patience
 
@@ -151,16 +154,22 @@
         gossip = self._fleet.gossip
         if self.holder:
             running_s = clock.now() - self._fleet.started_at
-            if running_s < SETTLE_S or self.holder in gossip.live():
+            if running_s < SETTLE_S or gossip.is_live(self.holder):
                 return False
-            left = gossip.last_notes.get(self.holder)
-            leaving = left is not None and left.leaving
+            leaving = gossip.has_left(self.holder)
             if gossip.full_rounds < FULL_ROUNDS and not leaving:
                 return False
         return self._rank() == 0
 
     async def _take(self):
         """Take the duty over by a conditional change."""
+        holder = self._fleet.leaders.members.get(self.holder)
+        if holder is not None and not self._fleet.gossip.has_left(holder.name):
+            # It may be slow to answer, as many ask it; a fleet in which
+            # the duty goes round changes no primary.
+            await self._fleet.gossip.ask(holder)
+            if not self._should_take():
+                return
         await self._read()
         if not self._should_take():
             return
@@ -175,9 +184,9 @@
             revision,
         )
         previous = earlier.value["holder"] if earlier else ""
-        left = self._fleet.gossip.last_notes.get(previous)
         # An instance that says it is leaving makes no call any more.
-        wait_s = 0.0 if not previous or (left and left.leaving) else HANDOVER_S
+        left = not previous or self._fleet.gossip.has_left(previous)
+        wait_s = 0.0 if left else HANDOVER_S
         self.fence = record.revision
         self.revision = record.revision
         self.holder = self._fleet.me.name
--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import secrets
 
 import logbook
 
@@ -33,11 +34,17 @@
 # Most instances asked in a round of trouble: all of today's, whose
 # promises extend leases.
 MOST_PEERS = 16
+# In a larger fleet the holder passes on what all promise, and a few others
+# are asked: all asking 16 would be thousands of calls a second.
+FEW_PEERS = 5
 # Knowledge older than this, or a holder silent for so long, is trouble.
 TROUBLE_S = 1.2
 # A peer that has not answered for so long is taken for silent: two
 # rounds.
 SILENT_S = 0.8
+# Promises of all are passed on once the reading that leases rest on is so
+# old: they are needed from 2 s on.
+PASS_ON_AGE_S = 1.0
 # Above every revision of the store.
 NOTHING_NEWER = 2**63
 
@@ -65,6 +72,8 @@
         self.far_failures = 0
         self._asked = set()
         self._known_as_of = {}
+        self._process = secrets.randbits(53)
+        self._stamps = {}
 
     async def run(self):
         """Exchange notes for ever."""
@@ -92,11 +101,14 @@
     def _choose(self, trouble):
         """Return whom to ask in this round."""
         members = self._fleet.other_members()
-        if trouble:
-            return self._some(members, MOST_PEERS)
         holder = self._fleet.duty.holder
         chosen = [m for m in members if m.name == holder]
         large = len(members) > LARGE_FLEET
+        if trouble and not large:
+            return self._some(members, MOST_PEERS)
+        if trouble:
+            few = self._some(members, FEW_PEERS)
+            return chosen + [m for m in few if m not in chosen]
         if large and chosen and self._round % QUIET_ROUNDS:
             return chosen
         centre = self._fleet.me.data_centre
@@ -135,12 +147,21 @@
         heard = self.heard_at.get(name, float("-inf"))
         return clock.now() - heard > SILENT_S
 
+    def is_live(self, name):
+        """Return whether a registered instance has answered lately."""
+        if name not in self._fleet.leaders.members or self.is_silent(name):
+            return False
+        return not self.last_notes[name].leaving
+
+    def has_left(self, name):
+        """Return whether an instance said that it is about to stop."""
+        note = self.last_notes.get(name)
+        return note is not None and note.leaving
+
     def live(self):
         """Return the instances that answered lately, this one included."""
         names = [
-            name
-            for name in self._fleet.leaders.members
-            if not self.is_silent(name) and not self.last_notes[name].leaving
+            name for name in self._fleet.leaders.members if self.is_live(name)
         ]
         if not self._fleet.stopping:
             names.append(self._fleet.me.name)
@@ -192,11 +213,37 @@
             else None,
             directory_age_s=min(1e9, fleet.directory.age_s()),
             promise_s=fleet.duty.promise_s(),
+            stamp=notes.Stamp(self._process, now),
+            echo=self._stamps.get(receiver),
+            all_promise_s=self._promise_of_all(receiver, now),
+            members_key=leaders.members_key,
             leaving=fleet.stopping,
             holder=fleet.duty.holder,
             holder_revision=fleet.duty.revision,
         )
 
+    def _promise_of_all(self, receiver, now):
+        """Return for how long nobody but the receiver begins a change."""
+        fleet = self._fleet
+        if fleet.leaders.book.age_s(now) < PASS_ON_AGE_S:
+            # Nobody's lease depends on it yet.
+            return 0.0
+        others = [name for name in fleet.leaders.others if name != receiver]
+        until = fleet.leaders.book.promised_by(others)
+        return max(0.0, min(fleet.duty.promise_s(), until - now))
+
+    def _take_promise(self, note):
+        """Take in a promise that came without being asked for.
+
+        It counts from when this instance wrote what the sender had from
+        it, as the way here may have taken any time.
+        """
+        echo = note.echo
+        if echo is None or echo.process != self._process:
+            return
+        if note.promise_s:
+            self._fleet.leaders.promised(note.sender, echo.at + note.promise_s)
+
     def receive(self, note):
         """Take in another instance's note; return the answering one.
 
@@ -212,6 +259,9 @@
         self.heard_at[note.sender] = clock.now()
         self.last_notes[note.sender] = note
         self._known_as_of[note.sender] = note.as_of
+        if note.stamp is not None:
+            self._stamps[note.sender] = note.stamp
+        self._take_promise(note)
         for leadership in note.leaderships:
             self._fleet.leaders.learn(leadership, note.sender)
         if note.members:
@@ -249,6 +299,11 @@
         )
         if note.promise_s:
             fleet.leaders.promised(note.sender, asked_at + note.promise_s)
+        if note.all_promise_s and (
+            note.members_key == fleet.leaders.members_key
+        ):
+            until = asked_at + note.all_promise_s
+            fleet.leaders.promised_by_all(until, note.sender)
         fleet.sampling.learn(note.samples, asked_at)
         for name, heard_s in note.heard_s.items():
             fleet.heard_elsewhere[name] = max(
--- a/balsamhinge/controllers/leaders.py
+++ b/balsamhinge/controllers/leaders.py
@@ -8,6 +8,7 @@
 from balsamhinge import exceptions
 from balsamhinge import links
 from balsamhinge.logs import event
+from balsamhinge.policy import hashing
 from balsamhinge.policy import homes
 from balsamhinge.policy import leases
 from balsamhinge.policy import notes
@@ -59,6 +60,7 @@
         # Both follow from the records; every statement needs the second.
         self.members = {}
         self.others = ()
+        self.members_key = 0
         self.boot_time = boot_time
         self.book = leases.LeaseBook()
         self.samples = {}
@@ -75,6 +77,7 @@
         self.member_records = found
         self.members = {name: one.member for name, one in found.items()}
         self.others = tuple(name for name in found if name != self._me.name)
+        self.members_key = hashing.hash_text("/".join(sorted(found)))
 
     def leader(self, group):
         """Return the `Leadership` that may be acted upon now, or None."""
@@ -225,6 +228,12 @@
         if self.book.confirm(knowledge):
             self._track(source)
 
+    def promised_by_all(self, until, source):
+        """Take in that no other instance begins a change before a time."""
+        for name in self.others:
+            self.book.promise(name, until)
+        self._track(source)
+
     def promised(self, member, until):
         """Take in a member's promise not to begin a change."""
         self.book.promise(member, until)
@@ -233,7 +242,7 @@
     def _track(self, source):
         """Log when all leases are lost or regained."""
         now = self.boot_time()
-        valid = now < self.book.valid_until(self.others)
+        valid = self.book.is_valid(now, self.others)
         if valid == self._valid:
             return
         self._valid = valid
--- a/balsamhinge/policy/leases.py
+++ b/balsamhinge/policy/leases.py
@@ -24,8 +24,9 @@
 # they do not begin a change: longer than the users' outages of the store.
 EXTENDED_S = 9.0
 # How long such a promise binds; less than LEASE_S, so that the wait of a
-# change outlasts it.
-PROMISE_S = 1.0
+# change outlasts it. It travels in two rounds of notes where the holder of
+# the duty passes it on, and has to outlast a third.
+PROMISE_S = 1.5
 
 
 @attrs.frozen
@@ -118,21 +119,32 @@
             Every other registered instance.
         """
         until = self.knowledge.read_at + LEASE_S
-        promises = [
-            self.promised_until.get(name, float("-inf")) for name in others
-        ]
-        if not promises:
+        if not others:
             return until
         extended = self.knowledge.read_at + EXTENDED_S
-        return max(until, min(extended, *promises))
+        return max(until, min(extended, self.promised_by(others)))
+
+    def promised_by(self, members):
+        """Return until when all of these members begin no change."""
+        known = self.promised_until
+        return min(
+            (known.get(name, float("-inf")) for name in members),
+            default=float("inf"),
+        )
 
     def leader(self, group, now, others):
         """Return the `Leadership` that may be acted upon, or None."""
         known = self.leaderships.get(group)
         if known is None or known.changing:
             return None
+        return known if self.is_valid(now, others) else None
+
+    def is_valid(self, now, others):
+        """Return whether leases hold, see `valid_until`.
+
+        Asked for every statement, so promises are looked at only where
+        they matter.
+        """
         if now < self.knowledge.read_at + LEASE_S:
-            # Asked for every statement: promises are looked at only where
-            # they matter.
-            return known
-        return known if now < self.valid_until(others) else None
+            return True
+        return now < self.valid_until(others)
--- a/balsamhinge/policy/notes.py
+++ b/balsamhinge/policy/notes.py
@@ -7,7 +7,7 @@
 from balsamhinge.policy import positions
 from balsamhinge.policy import routes
 
-__all__ = ["MemberRecord", "Note", "Sample"]
+__all__ = ["MemberRecord", "Note", "Sample", "Stamp"]
 
 
 @attrs.frozen
@@ -29,6 +29,23 @@
     age_s: float
 
 
+@attrs.frozen
+class Stamp:
+    """When a process wrote a note, by its own clock.
+
+    Parameters
+    ----------
+    process : int
+        Tells the processes of one instance's name apart: clocks of two
+        machines have nothing in common.
+    at : float
+        Boot-clock seconds.
+    """
+
+    process: int
+    at: float
+
+
 @attrs.frozen
 class MemberRecord:
     """A registered instance, with the store's revision of its record."""
@@ -74,6 +91,16 @@
         Age of the sender's news of routes and targets.
     promise_s : float
         The sender begins no change of a primary for so long.
+    stamp : Stamp or None
+        When the sender wrote the note.
+    echo : Stamp or None
+        The latest one that the sender has from the receiver: it wrote
+        this note, and its promise, after the receiver wrote that.
+    all_promise_s : float
+        For so long neither the sender nor any other instance that the
+        sender knows begins a change.
+    members_key : int
+        Which instances the sender knows.
     leaving : bool
         Whether the sender is about to stop.
     holder : str
@@ -97,6 +124,10 @@
     targets: list[routes.ServingTarget] | None = None
     directory_age_s: float = 1e9
     promise_s: float = 0.0
+    stamp: Stamp | None = None
+    echo: Stamp | None = None
+    all_promise_s: float = 0.0
+    members_key: int = 0
     leaving: bool = False
     holder: str = ""
     holder_revision: int = 0
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -302,6 +302,20 @@
 
         self.run_fleet(scenario)
 
+    def test_a_large_fleet_uses_them_on_while_the_store_is_down(self):
+        """Pattern: dozens of instances, none of which can ask all."""
+
+        async def scenario(world):
+            world.records.knobs.down = True
+            callers = [world.caller(name, "posts") for name in world.fleets]
+            for _second in range(6):
+                await asyncio.sleep(1.0)
+                for caller in callers:
+                    answer = await caller.write("a", "1")
+                    self.assertIsNone(answer.problem)
+
+        self.run_fleet(scenario, instances=10)
+
     def test_without_one_promise_leases_lapse_with_the_store(self):
         async def scenario(world):
             world.records.knobs.down = True
