Offer refused work ever less often

Change: the pause doubles up to 160 ms. Ruled out: giving up earlier; a late answer is still worth something to its caller.

--- a/balsamhinge/sessions/placing.py
+++ b/balsamhinge/sessions/placing.py
@@ -31,8 +31,12 @@
         Problem.UNKNOWN_NAME,
     }
 )
-# Pause before a primary that turned work away is asked again.
+# Pause before a primary that turned work away is asked again: about one
+# statement's time, doubled each time up to what leaves a caller of 0.8 s
+# four more attempts. All instances that ask an overloaded target again at
+# once only add to its work.
 AGAIN_S = 0.02
+MOST_AGAIN_S = 0.16
 # A read whose answer takes longer is asked of another target as well:
 # nine of ten of the users' reads take less than 60 ms.
 SECOND_S = 0.12
@@ -64,6 +68,8 @@
         Loop seconds when it came.
     failures : list of str
         Targets that were tried, and what came of it.
+    pauses : int
+        How often it has waited before it was tried again.
     """
 
     request_id: str
@@ -73,6 +79,7 @@
     until: float
     begun: float = attrs.Factory(clock.now)
     failures: list = attrs.Factory(list)
+    pauses: int = 0
 
     @property
     def waited_s(self):
@@ -113,11 +120,14 @@
 
     async def again(self, ask):
         """Pause before another attempt; return whether one is worthwhile."""
-        if clock.now() + AGAIN_S >= ask.until:
+        pause_s = min(MOST_AGAIN_S, AGAIN_S * 2**ask.pauses)
+        ask.pauses += 1
+        pause_s *= self._fleet.rng.uniform(0.75, 1.25)
+        if clock.now() + pause_s >= ask.until:
             return False
         if len(ask.failures) > 2 * MOST_ATTEMPTS:
             return False
-        await clock.pause(AGAIN_S)
+        await clock.pause(pause_s)
         return True
 
     async def primary(self, ask):
--- a/balsamhinge/standins/replicas.py
+++ b/balsamhinge/standins/replicas.py
@@ -89,6 +89,8 @@
         Whether it does not hear of a new primary.
     lose_answers : int
         How many of the next statements run without an answer.
+    full : bool
+        Whether it turns all work away.
     """
 
     work_s: float = 0.005
@@ -98,6 +100,7 @@
     lonely: bool = False
     cut: set = attrs.Factory(set)
     lose_answers: int = 0
+    full: bool = False
 
 
 class ReplicaTarget:
@@ -115,6 +118,7 @@
         self.slots = slots
         self.most = most
         self.connections = set()
+        self.turned_away = 0
         self.free = asyncio.Semaphore(slots)
 
     @property
@@ -326,6 +330,9 @@
                 return self._begin(read_only, order.needed)
             case statements.Rollback():
                 self._end()
+            case _ if target.knobs.full:
+                target.turned_away += 1
+                return Problem.BUSY
             case _ if self._state is State.FAILED:
                 return Problem.MALFORMED
             case statements.Commit():
