Borrow and run in one call unless a write must not run twice

Each operation at a primary through a host took a call to borrow and one for its first statement.

Change: reads and the begin of a transaction borrow as they are sent; a write of its own still borrows first. In trouble a large fleet asks three others instead of five beside the holder.

--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -36,9 +36,9 @@
 # Most instances asked in a round of trouble: all of today's, whose
 # promises extend leases.
 MOST_PEERS = 16
-# In a larger fleet the holder passes on what all promise, and a few others
+# In a large fleet the holder passes on what all promise, and a few others
 # are asked: all asking 16 would be thousands of calls a second.
-FEW_PEERS = 5
+FEW_PEERS = 3
 # Knowledge older than this, or a holder silent for so long, is trouble.
 TROUBLE_S = 1.2
 # A peer that has not answered for so long is taken for silent: two
--- a/balsamhinge/sessions/hosting.py
+++ b/balsamhinge/sessions/hosting.py
@@ -114,19 +114,12 @@
             patience_s=min(BORROW_S, max(0.0, until - clock.now())),
             patient=patient,
         )
-        if leadership is None:
-            # A read may run twice, so it needs no call of its own to
-            # borrow; see `RemoteWorkplace.ask`.
-            return running.RemoteWorkplace(
-                self._fleet, target, host, borrow=request
-            )
-        loan = await self._borrow(host, request)
-        if not self._fleet.leaders.holds(leadership):
-            self.end(host, loan, usable=True)
-            raise running.LeaseLost("the primary's lease has lapsed")
-        self._fleet.leaders.enter(leadership)
+        if leadership is not None:
+            if not self._fleet.leaders.holds(leadership):
+                raise running.LeaseLost("the primary's lease has lapsed")
+            self._fleet.leaders.enter(leadership)
         return running.RemoteWorkplace(
-            self._fleet, target, host, loan=loan, leadership=leadership
+            self._fleet, target, host, request, leadership
         )
 
     async def _own(self, target, until, patient, leadership):
@@ -150,7 +143,13 @@
         found = usable or hosts[: loans.HOSTS]
         return homes.rank(found, self._fleet.me.name)[0]
 
-    async def _borrow(self, host, request):
+    async def borrow(self, host, request):
+        """Return the number of a loan of a host.
+
+        Raises
+        ------
+        NotRunError
+        """
         try:
             reply = await self._fleet.links.peers.borrow(
                 host, request, request.patience_s + ANSWER_S
--- a/balsamhinge/sessions/running.py
+++ b/balsamhinge/sessions/running.py
@@ -66,6 +66,9 @@
         """Return how many orders have no answer yet."""
         return self.lent.conn.outstanding
 
+    async def secure(self):
+        """Do nothing: the connection is there; see `RemoteWorkplace`."""
+
     def forget_prepared(self):
         """Prepare statements anew: the target has lost them."""
         self.lent.prepared.clear()
@@ -174,25 +177,37 @@
         Where the connection leads.
     host : Member
         The instance that keeps it.
-    loan : int
-        Its number there; 0 if there is none now.
-    borrow : BorrowRequest or None
+    borrow : BorrowRequest
         What is borrowed with the first statement.
     leadership : Leadership or None
         Under which the target is used as the primary, if it is.
+    loan : int
+        The connection's number at the host; 0 if there is none now.
     """
 
     fleet: object
     target: object
     host: object
-    loan: int = 0
-    borrow: object = None
+    borrow: object
     leadership: object = None
+    loan: int = 0
     outstanding: int = 0
     released: bool = False
     _values: dict = attrs.Factory(dict)
     _prepared: object = None
 
+    async def secure(self):
+        """Borrow the connection before anything is sent.
+
+        Other statements borrow it as they are sent. One that must not run
+        twice would be in doubt if the host died meanwhile.
+
+        Raises
+        ------
+        NotRunError
+        """
+        self.loan = await self.fleet.hosting.borrow(self.host, self.borrow)
+
     async def align(self, values, prepared, until):
         """Have the host align its connection before the next order."""
         self._values = dict(values)
--- a/balsamhinge/sessions/session.py
+++ b/balsamhinge/sessions/session.py
@@ -277,6 +277,7 @@
             return answer
 
     async def _try_write(self, workplace, ask, statement, prepared):
+        await workplace.secure()
         await workplace.align(self._values, prepared, ask.until)
         self._check_lease(workplace)
         order = self._order(ask.request_id, statement, prepared)
