Take two lost hosts of a data centre for its loss

Change: where two hosts of a data centre do not answer, its other instances are no hosts and its targets come last for reads until one answers a note. Primaries are not judged by it.

Test: tests.sessions.test_hosting.

--- a/balsamhinge/fleet.py
+++ b/balsamhinge/fleet.py
@@ -274,7 +274,8 @@
                     wait_s=one.mean_s,
                     applied=one.applied,
                     applied_age_s=now - one.applied_at,
-                    troubled=one.silent_s(now) > 0,
+                    troubled=one.silent_s(now) > 0
+                    or self.hosting.is_lost(target.data_centre),
                 )
             )
         return found
--- a/balsamhinge/sessions/hosting.py
+++ b/balsamhinge/sessions/hosting.py
@@ -28,6 +28,9 @@
 BORROW_S = 0.3
 # How long an answer of a host that is reached takes beyond that.
 ANSWER_S = 0.15
+# Where so many hosts of one data centre do not answer, it is taken to be
+# cut off: finding that out of each instance there would take minutes.
+MOST_LOST = 2
 # How often a host that did not answer is asked for a note, before work is
 # sent to it again: each statement that tries it instead costs its caller
 # the whole wait.
@@ -77,7 +80,8 @@
         self._fleet = fleet
         self._numbers = itertools.count(1)
         self._loans = {}
-        self._avoided = set()
+        # Data centres of hosts that do not answer, by name.
+        self._avoided = {}
 
     # What this instance borrows.
 
@@ -108,7 +112,7 @@
         hosts = self._fleet.lending.hosts(target)
         if not hosts or self._fleet.me in hosts[: loans.HOSTS]:
             return await self._own(target, until, patient, leadership)
-        host = self._choose(hosts)
+        host = self.choose(hosts)
         request = loans.BorrowRequest(
             target=target.name,
             epoch=leadership.epoch if leadership else 0,
@@ -133,11 +137,15 @@
             self._fleet.leaders.enter(leadership)
         return running.Workplace(self._fleet, pool, lent, leadership)
 
-    def _choose(self, hosts):
+    def choose(self, hosts):
         """Return the host to ask: each borrower keeps to one that answers."""
-        usable = [host for host in hosts if host.name not in self._avoided]
-        usable = usable[: loans.HOSTS]
-        found = usable or hosts[: loans.HOSTS]
+        usable = [
+            host
+            for host in hosts
+            if host.name not in self._avoided
+            and not self.is_lost(host.data_centre)
+        ]
+        found = usable[: loans.HOSTS] or hosts[: loans.HOSTS]
         return homes.rank(found, self._fleet.me.name)[0]
 
     async def borrow(self, host, request):
@@ -160,11 +168,19 @@
             raise exceptions.NotRunError(f"host {host.name}: {reply.detail}")
         return reply.loan
 
+    def is_lost(self, data_centre):
+        """Return whether a data centre seems to be cut off with its hosts.
+
+        Its targets are better left alone by reads then. That says nothing
+        of the targets themselves, so no primary is judged by it.
+        """
+        return list(self._avoided.values()).count(data_centre) >= MOST_LOST
+
     def avoid(self, host):
         """Ask other hosts until one that did not answer does so again."""
         if host.name in self._avoided:
             return
-        self._avoided.add(host.name)
+        self._avoided[host.name] = host.data_centre
         event(log.notice, "host_avoided", host=host.name)
         self._fleet.spawn(self._recover(host))
 
@@ -174,7 +190,7 @@
         while not answered and host.name in self._fleet.leaders.members:
             await clock.pause(RECOVER_S)
             answered = await self._fleet.gossip.ask(host) is not None
-        self._avoided.discard(host.name)
+        del self._avoided[host.name]
         event(
             log.notice,
             "host_used_again",
--- a/tests/sessions/test_hosting.py
+++ b/tests/sessions/test_hosting.py
@@ -5,6 +5,7 @@
 from balsamhinge.controllers import clock
 from balsamhinge.policy import loans
 from balsamhinge.policy import statements
+from balsamhinge.sessions import hosting as sessions_hosting
 from balsamhinge.standins import replicas
 from tests.support import virtual
 
@@ -129,7 +130,32 @@
             avoided = world.fleets[name].hosting._avoided
             world.cuts.clear()
             await asyncio.sleep(2.0)
-            self.assertEqual(set(), avoided)
+            self.assertEqual({}, avoided)
+
+        self.run_fleet(scenario, **SCARCE)
+
+    def test_a_lost_data_centre_is_found_out_once(self):
+        """Pattern: a zone cut takes the hosts of its targets along."""
+
+        async def scenario(world):
+            name = borrower_of_primary(world)
+            hosting = world.fleets[name].hosting
+            hosts = hosts_of_primary(world)
+            target = world.fleets[name].directory.targets[
+                world.group.primary.name
+            ]
+            ranked = world.fleets[name].lending.hosts(target)
+            for host in hosts[: sessions_hosting.MOST_LOST]:
+                self.assertEqual(
+                    target.data_centre, hosting.choose(ranked).data_centre
+                )
+                world.cuts.add(frozenset((name, host.name)))
+                hosting.avoid(host)
+            chosen = hosting.choose(ranked).data_centre
+            self.assertNotEqual(target.data_centre, chosen)
+            loads = world.fleets[name].loads(world.group.name)
+            troubled = [one.name for one in loads if one.troubled]
+            self.assertEqual([target.name], troubled)
 
         self.run_fleet(scenario, **SCARCE)
 
