Tell in logs and stories what three random failed requests lacked

Their lines lacked: the group and target of an aborted transaction, the group of a write in doubt; a read that waited for the primary was logged as refused once too often, also where it then went on; and what explained the first one, leases lapsed since longer than 5 s, was left out of its story.

A story now tells how its instances stood (leases, store, isolation) however long ago that began. The test of stories expected the older rule for a lost store; it now has an older event that must be left out too.

--- a/balsamhinge/explaining.py
+++ b/balsamhinge/explaining.py
@@ -23,6 +23,13 @@
         "stopping",
     }
 )
+# Pairs of events of which the latest one tells how an instance stands,
+# however long ago it came.
+STANDING = (
+    {"leases_lapsed", "leases_valid"},
+    {"store_lost", "store_regained"},
+    {"isolated", "not_isolated"},
+)
 # How far before a request's first line its cause is looked for: a change
 # of a primary that no instance confirms takes 4 s from the first silence.
 BEFORE_S = 5.0
@@ -105,7 +112,8 @@
     list of LogLine
         The request's own lines, and what its instances believed anew of
         its group and targets from `BEFORE_S` before it until its end.
-        Empty if no line has the identifier.
+        Empty if no line has the identifier. How the instances stood
+        when it came is told however long ago that began.
     """
     lines = sorted(lines, key=lambda line: line.at)
     own = [one for one in lines if one.fields.get("request_id") == request_id]
@@ -124,10 +132,16 @@
         if one.fields.get("group") in topics and "target" in one.fields
     }
 
+    standing = [
+        find_latest(lines, source, events, own[0].at)
+        for source in sources
+        for events in STANDING
+    ]
+
     def explains(line):
         if line.fields.get("request_id", request_id) != request_id:
             return False
-        if line in own:
+        if line in own or line in standing:
             return True
         before_s = (own[0].second - line.second) % SECONDS_PER_DAY
         after = line.at > own[-1].at
@@ -139,3 +153,26 @@
         return line.event in BELIEFS and line.source in sources
 
     return [line for line in lines if explains(line)]
+
+
+def find_latest(lines, source, events, before):
+    """Return the last line of a log with one of some events, or None.
+
+    Parameters
+    ----------
+    lines : list of LogLine
+        In time order.
+    source : str
+        Name of the log.
+    events : set of str
+        Any of them.
+    before : str
+        Time up to which it is looked for.
+    """
+    found = None
+    for line in lines:
+        if line.at > before:
+            break
+        if line.source == source and line.event in events:
+            found = line
+    return found
--- a/balsamhinge/sessions/placing.py
+++ b/balsamhinge/sessions/placing.py
@@ -132,6 +132,11 @@
 
     async def primary(self, ask):
         """Return a `Workplace` at the primary, or a refusal."""
+        found = await self._wait_primary(ask)
+        return self.refusal(ask) if found is None else found
+
+    async def _wait_primary(self, ask):
+        """Return a `Workplace` at the primary, or None in time."""
         while True:
             # Where nobody else is reached, no other primary will be known
             # in time, and a caller is better served elsewhere.
@@ -151,13 +156,13 @@
                     known.target if known else "?",
                     "no primary may be used",
                 )
-                return self.refusal(ask)
+                return None
             try:
                 return await self._enter(found, ask)
             except exceptions.NotRunError as exc:
                 ask.note(found.target, exc)
                 if not await self.again(ask):
-                    return self.refusal(ask)
+                    return None
 
     async def _enter(self, leadership, ask):
         target = self._fleet.directory.targets.get(leadership.target)
@@ -244,8 +249,8 @@
             name = known.target if known else ""
             if name in tried:
                 return None
-            workplace = await self.primary(ask)
-            if isinstance(workplace, Answer):
+            workplace = await self._wait_primary(ask)
+            if workplace is None:
                 return None
             tried.add(workplace.target.name)
             return fleet.spawn(self._one(ask, attempt, workplace, None, keep))
--- a/balsamhinge/sessions/session.py
+++ b/balsamhinge/sessions/session.py
@@ -305,6 +305,7 @@
             log.notice,
             "write_in_doubt",
             request_id=ask.request_id,
+            group=ask.route.group,
             target=workplace.target.name,
             waited_s=ask.waited_s,
             error=exc,
@@ -377,13 +378,17 @@
     def _aborted(self, ask, exc):
         """Fail the transaction: nothing of it was committed."""
         transaction, self._transaction = self._transaction, None
+        target = ""
         if transaction is not None and transaction.workplace is not None:
+            target = transaction.workplace.target.name
             transaction.workplace.release(usable=False)
         self.state = State.FAILED
         event(
             log.notice,
             "transaction_aborted",
             request_id=ask.request_id,
+            group=ask.route.group,
+            target=target,
             waited_s=ask.waited_s,
             error=exc,
         )
--- a/tests/test_explaining.py
+++ b/tests/test_explaining.py
@@ -7,6 +7,7 @@
 __all__ = ["StoryTest"]
 
 LOG = """\
+time=2026-12-04T10:00:00.400000Z level=NOTICE event=peer_silent instance=i2
 front-1 time=2026-12-04T10:00:00.500000Z level=WARNING event=store_lost \
 error="no answer"
 time=2026-12-04T10:00:07.000000Z level=WARNING event=primary_judged \
@@ -43,6 +44,7 @@
     def test_a_story_has_the_request_and_what_led_to_it(self):
         self.assertEqual(
             [
+                "store_lost",
                 "primary_judged",
                 "leases_lapsed",
                 "connection_limit_met",
@@ -72,6 +74,16 @@
             [line.event for line in told if line.source == "b.log"],
         )
 
+    def test_how_its_instance_stood_is_told_however_old(self):
+        text = (
+            "time=2026-12-04T10:00:00.0Z level=NOTICE event=leases_valid\n"
+            "time=2026-12-04T10:00:01.0Z level=WARNING event=leases_lapsed\n"
+            "time=2026-12-04T10:00:01.5Z level=NOTICE event=peer_silent\n"
+            "time=2026-12-04T10:00:40.0Z level=INFO event=refused "
+            "request_id=r1 group=g"
+        )
+        self.assertEqual(["leases_lapsed", "refused"], self.told(text))
+
     def test_midnight_divides_no_story(self):
         text = (
             "time=2026-12-04T23:59:59.9Z level=WARNING event=leases_lapsed\n"
