--- a/balsamhinge/controllers/leaders.py
+++ b/balsamhinge/controllers/leaders.py
@@ -23,6 +23,8 @@
 DUTY_KEY = "duty"
 # How long the work at the old primary may go on in an orderly change.
 ORDERLY_S = 0.5
+# Instances that one log line names at most.
+MOST_NAMED = 5
 
 log = logbook.Logger(__name__)
 
@@ -251,15 +253,28 @@
         if valid == self._valid:
             return
         self._valid = valid
+        age_s = self.book.age_s(now)
+        as_of = self.book.knowledge.as_of
+        if valid:
+            event(
+                log.notice,
+                "leases_valid",
+                age_s=age_s,
+                as_of=as_of,
+                source=source,
+            )
+            self._notify()
+            return
+        missing = self.book.without_promise(self.others, now)
         event(
-            log.notice if valid else log.warning,
-            "leases_valid" if valid else "leases_lapsed",
-            age_s=self.book.age_s(now),
-            as_of=self.book.knowledge.as_of,
+            log.warning,
+            "leases_lapsed",
+            age_s=age_s,
+            as_of=as_of,
             source=source,
+            without_promise=len(missing),
+            instances=",".join(missing[:MOST_NAMED]),
         )
-        if valid:
-            self._notify()
 
     async def read(self):
         """Read all primaries and the duty from the store now."""
--- a/balsamhinge/policy/leases.py
+++ b/balsamhinge/policy/leases.py
@@ -132,6 +132,13 @@
             default=float("inf"),
         )
 
+    def without_promise(self, members, now):
+        """Return those of some members whose promise does not hold now."""
+        known = self.promised_until
+        return [
+            name for name in members if known.get(name, float("-inf")) <= now
+        ]
+
     def leader(self, group, now, others):
         """Return the `Leadership` that may be acted upon, or None."""
         known = self.leaderships.get(group)
--- a/tests/policy/test_leases.py
+++ b/tests/policy/test_leases.py
@@ -57,6 +57,12 @@
         extended = 10.0 + leases.EXTENDED_S
         self.assertEqual(extended, found.valid_until(OTHERS))
 
+    def test_who_gave_no_promise_is_known(self):
+        found = book()
+        found.promise("b", 12.5)
+        self.assertEqual(["c"], found.without_promise(OTHERS, 12.0))
+        self.assertEqual(["b", "c"], found.without_promise(OTHERS, 12.5))
+
     def test_an_instance_alone_has_nobody_to_promise(self):
         self.assertEqual(12.0, book().valid_until(()))
 
