Try one connection at a time at a target without room

Also found by the new test: the timer after a refusal may run a little before the time that it was set for, which was looked at again, and then nobody opened a connection until the next borrower came.

Change: after a refusal one attempt at a time, after 40, 80 and then each 160 ms, until one succeeds; the timer opens without looking.

Before: no waiter was served after room came back (virtual clock). After: ten of ten, in fewer than 30 attempts; fewer than 20 in 0.8 s without room.

--- a/balsamhinge/controllers/lending.py
+++ b/balsamhinge/controllers/lending.py
@@ -25,8 +25,10 @@
 # one connection at most.
 SCARCE_IDLE_S = 0.2
 # Pause after a target's limit of connections was met: others give theirs
-# back within tens of milliseconds.
+# back within tens of milliseconds. It doubles while the limit is met again,
+# to a fifth of the callers' 0.8 s; each attempt is work for both ends.
 LIMIT_PAUSE_S = 0.04
+MOST_LIMIT_PAUSE_S = 0.16
 # Weight of one loan in the running mean of how long they last.
 LOAN_WEIGHT = 0.05
 
@@ -83,6 +85,8 @@
         self._impatient = set()
         self._opening = 0
         self._limited_until = 0.0
+        # How often in succession the limit was met.
+        self._limited = 0
         self._closed = False
         self.open = 0
         self._loan_s = 0.0
@@ -188,6 +192,9 @@
         room = self._most() - self.open - self._opening
         if clock.now() < self._limited_until:
             return
+        if self._limited:
+            # One attempt tells whether there is room again.
+            room = min(room, 1 - self._opening)
         for _one in range(min(wanted, room)):
             self._opening += 1
             asyncio.ensure_future(self._open_one())
@@ -206,9 +213,11 @@
             self._fail_waiting(exc)
             return
         self._opening -= 1
+        self._limited = 0
         self.open += 1
         self._health.heard(self.target.name, clock.now())
         self.give_back(Lent(conn, lent_at=clock.now()))
+        self._open_more()
 
     def _refused(self, exc):
         if exc.problem is not statements.Problem.TOO_MANY:
@@ -223,12 +232,23 @@
                 open=self.open,
                 waiting=len(self._waiting),
             )
-            self._limited_until = now + LIMIT_PAUSE_S
+            pause_s = min(MOST_LIMIT_PAUSE_S, LIMIT_PAUSE_S * 2**self._limited)
+            self._limited += 1
+            self._limited_until = now + pause_s
             loop = asyncio.get_running_loop()
-            loop.call_later(LIMIT_PAUSE_S, self._open_more)
+            loop.call_later(pause_s, self._try_again)
         if not self.open:
             self._fail_impatient(exc)
 
+    def _try_again(self):
+        """Open connections after the limit was met.
+
+        A timer may run a little before its time, so the time is not
+        looked at again.
+        """
+        self._limited_until = 0.0
+        self._open_more()
+
     def _fail_impatient(self, exc):
         """Send away who may be served by another target."""
         for fut in [fut for fut in self._waiting if fut in self._impatient]:
--- a/tests/controllers/test_lending.py
+++ b/tests/controllers/test_lending.py
@@ -2,7 +2,20 @@
 
 import asyncio
 
+import testtools
+
+from balsamhinge.controllers import clock
+from balsamhinge.controllers import health
+from balsamhinge.controllers import lending
+from balsamhinge import exceptions
+from balsamhinge.policy import routes
+from balsamhinge.policy import statements
 from tests.support import virtual
+from tests.support import world
+
+__all__ = ["FullTargetTest", "MassReturnTest"]
+
+WAIT_S = 0.8
 
 
 class MassReturnTest(virtual.FleetTestCase):
@@ -39,3 +52,63 @@
                 await asyncio.sleep(0.5)
 
         self.run_fleet(scenario, instances=4, connections=5)
+
+
+class FullTarget:
+    """Accepts no connection until a time."""
+
+    def __init__(self, room_at):
+        self.attempts = 0
+        self._room_at = room_at
+
+    async def connect(self, target, timeout_s):
+        """See `SessionTargetLink.connect`."""
+        self.attempts += 1
+        await asyncio.sleep(0.002)
+        if clock.now() < self._room_at:
+            raise exceptions.TargetRefused(
+                statements.Problem.TOO_MANY, "no room"
+            )
+        return Connection()
+
+
+class Connection:
+    """A connection that does nothing."""
+
+    lost = False
+    outstanding = 0
+
+
+class FullTargetTest(testtools.TestCase):
+    """Pattern: many wait for a target whose connections others hold."""
+
+    def wait_for_room(self, room_s):
+        """Return how many of ten were served, and the attempts it took."""
+
+        async def run():
+            link = FullTarget(clock.now() + room_s)
+            target = routes.ServingTarget(
+                "t", "g", "h:1", "n", 4, False, routes.TargetRole.PRIMARY
+            )
+            pool = lending.TargetPool(
+                target, link, health.HealthController(), lambda: 10
+            )
+            until = clock.now() + WAIT_S
+            waiting = [pool.borrow(until) for _ in range(10)]
+            found = await asyncio.gather(*waiting, return_exceptions=True)
+            served = sum(isinstance(one, lending.Lent) for one in found)
+            return served, link.attempts
+
+        return world.run_virtual(run())
+
+    def test_a_full_target_is_not_stormed(self):
+        served, attempts = self.wait_for_room(10.0)
+        self.assertEqual(0, served)
+        # Ten at first, then after 40, 80 and each 160 ms; ten each 40 ms
+        # would be 200.
+        self.assertLess(attempts, 20)
+
+    def test_all_are_served_once_there_is_room(self):
+        served, attempts = self.wait_for_room(0.3)
+        self.assertEqual(10, served)
+        self.assertLess(attempts, 30)
