Let a host that stops serve its loans to their end

Change: it waits for its loans within the same grace, answers that it leaves, and is left alone by borrowers until it is back; its data centre does not count as lost.

Test: tests.sessions.test_hosting, a host that stops; before, the other write was refused and there was nothing to wait for.

--- a/balsamhinge/platform/daemon.py
+++ b/balsamhinge/platform/daemon.py
@@ -122,12 +122,14 @@
         logs.event(log.notice, "stopping", instance=self.fleet.me.name)
         begun = time.monotonic()
         grace_s = self._settings.grace_s * GRACE_SHARE
+        until = clock.now() + grace_s
         self.fleet.stopping = True
         self.fleet.spawn(self.fleet.gossip.ask_all())
         draining = self.fleet.spawn(self._callers.drain(grace_s))
         await asyncio.sleep(min(UNREADY_S, grace_s / 2))
         self._callers.stop_listening()
         await draining
+        await self.fleet.hosting.drain(until)
         self._readiness.stop()
         await self.fleet.halt()
         await self._server.stop()
--- a/balsamhinge/policy/loans.py
+++ b/balsamhinge/policy/loans.py
@@ -85,10 +85,13 @@
         Its number at the host; 0 for none.
     detail : str
         Why there is none.
+    leaving : bool
+        Whether the host is about to stop.
     """
 
     loan: int = 0
     detail: str = ""
+    leaving: bool = False
 
 
 @attrs.frozen
@@ -142,12 +145,15 @@
         Whether the target may have run it, where there is no answer.
     detail : str
         Why there is no answer.
+    leaving : bool
+        Whether the host lends nothing as it is about to stop.
     """
 
     answer: statements.Answer | None = None
     loan: int = 0
     may_have_run: bool = False
     detail: str = ""
+    leaving: bool = False
 
 
 def pack(statement):
--- a/balsamhinge/sessions/hosting.py
+++ b/balsamhinge/sessions/hosting.py
@@ -23,6 +23,8 @@
 # instance: that one has died.
 LEFT_S = 2.0
 SWEEP_S = 0.25
+# How often a host that stops looks whether its loans have ended.
+DRAIN_STEP_S = 0.05
 # How long one host is waited for before the next one is asked; a queue
 # that is longer has the statement refused in the end.
 BORROW_S = 0.3
@@ -80,7 +82,8 @@
         self._fleet = fleet
         self._numbers = itertools.count(1)
         self._loans = {}
-        # Data centres of hosts that do not answer, by name.
+        # Data centres of hosts that do not answer, by name; "" for those
+        # that are about to stop.
         self._avoided = {}
 
     # What this instance borrows.
@@ -164,6 +167,8 @@
             raise exceptions.NotRunError(
                 f"host {host.name} of {request.target} does not answer"
             ) from exc
+        if reply.leaving:
+            self.avoid(host, leaving=True)
         if not reply.loan:
             raise exceptions.NotRunError(f"host {host.name}: {reply.detail}")
         return reply.loan
@@ -176,12 +181,20 @@
         """
         return list(self._avoided.values()).count(data_centre) >= MOST_LOST
 
-    def avoid(self, host):
-        """Ask other hosts until one that did not answer does so again."""
+    def avoid(self, host, leaving=False):
+        """Ask other hosts until one that does not answer, or leaves, does.
+
+        Parameters
+        ----------
+        host : Member
+            Whom not to ask.
+        leaving : bool
+            Whether it said so itself; then its data centre is well.
+        """
         if host.name in self._avoided:
             return
-        self._avoided[host.name] = host.data_centre
-        event(log.notice, "host_avoided", host=host.name)
+        self._avoided[host.name] = "" if leaving else host.data_centre
+        event(log.notice, "host_avoided", host=host.name, leaving=leaving)
         self._fleet.spawn(self._recover(host))
 
     async def _recover(self, host):
@@ -189,7 +202,8 @@
         answered = False
         while not answered and host.name in self._fleet.leaders.members:
             await clock.pause(RECOVER_S)
-            answered = await self._fleet.gossip.ask(host) is not None
+            note = await self._fleet.gossip.ask(host)
+            answered = note is not None and not note.leaving
         del self._avoided[host.name]
         event(
             log.notice,
@@ -232,8 +246,23 @@
                 )
                 self.take_back(number, usable=unused)
 
+    async def drain(self, until):
+        """Wait until no other instance uses a connection of this one.
+
+        Parameters
+        ----------
+        until : float
+            Loop seconds after which what is left is cut.
+        """
+        while self._loans and clock.now() < until:
+            await clock.pause(DRAIN_STEP_S)
+
     async def lend(self, request):
         """Return the `BorrowReply` to a `BorrowRequest`."""
+        if self._fleet.stopping:
+            return loans.BorrowReply(
+                detail="the host is about to stop", leaving=True
+            )
         try:
             workplace = await self._find(request)
         except exceptions.NotRunError as exc:
@@ -244,8 +273,6 @@
 
     async def _find(self, request):
         fleet = self._fleet
-        if fleet.stopping:
-            raise exceptions.NotRunError("the host is about to stop")
         target = fleet.directory.targets.get(request.target)
         if target is None:
             raise exceptions.NotRunError("the host does not list the target")
@@ -265,7 +292,7 @@
             lent = await self.lend(request.borrow)
             number = lent.loan
             if not number:
-                return loans.RunReply(detail=lent.detail)
+                return loans.RunReply(detail=lent.detail, leaving=lent.leaving)
         loan = self._loans.get(number)
         if loan is None or loan.running:
             return loans.RunReply(detail="the loan has ended")
--- a/balsamhinge/sessions/running.py
+++ b/balsamhinge/sessions/running.py
@@ -270,6 +270,8 @@
                 f"no answer of host {self.host.name}"
             ) from exc
         self.loan = reply.loan
+        if reply.leaving:
+            self.fleet.hosting.avoid(self.host, leaving=True)
         if reply.answer is not None:
             return reply.answer
         detail = f"host {self.host.name}: {reply.detail}"
--- a/tests/sessions/test_hosting.py
+++ b/tests/sessions/test_hosting.py
@@ -159,6 +159,27 @@
 
         self.run_fleet(scenario, **SCARCE)
 
+    def test_a_host_that_stops_cuts_no_transaction(self):
+        async def scenario(world):
+            caller = world.caller(borrower_of_primary(world), "posts")
+            await caller.ask(statements.Begin())
+            await caller.ask(Direct(Access.WRITE, "k 1"))
+            host = next(h for h in world.fleets.values() if h.hosting._loans)
+            host.stopping = True
+            draining = asyncio.ensure_future(
+                host.hosting.drain(clock.now() + 5.0)
+            )
+            # Others' work goes elsewhere meanwhile.
+            other = world.caller(borrower_of_primary(world), "posts")
+            self.assertIsNone((await other.write("a", "1")).problem)
+            await asyncio.sleep(1.0)
+            self.assertFalse(draining.done())
+            answer = await caller.ask(statements.Commit())
+            self.assertIsNone(answer.problem)
+            await draining
+
+        self.run_fleet(scenario, **SCARCE)
+
     def test_a_dead_borrower_holds_no_transaction_open(self):
         async def scenario(world):
             name = borrower_of_primary(world)
