Cancel no caller when another call gives a channel up

A trace showed that the first in line for the duty had stopped to look for it: since the duty's holder is asked once more before it is followed, two calls can be under way on one channel; the one that fails first closes the channel, gRPC cancels the other, and the cancellation ended the loop that looks after the duty, without a line.

Change: a call that was not cancelled by its own caller ends as a peer that did not answer.

Before: tests.peers.test_fleet got CancelledError; after: it passes.

--- a/balsamhinge/peers/fleet.py
+++ b/balsamhinge/peers/fleet.py
@@ -86,6 +86,12 @@
             # long after the cut has healed; a new one tells at once.
             self._drop(member.name, purpose)
             raise exceptions.PeerUnavailable(member.name, True) from exc
+        except asyncio.CancelledError as exc:
+            # A channel that another call has given up cancels the calls
+            # that are left on it; that ends none of their callers.
+            if asyncio.current_task().cancelling():
+                raise
+            raise exceptions.PeerUnavailable(member.name, True) from exc
         return answer.body
 
     def _stub(self, member, purpose):
