--- a/tests/controllers/test_duty.py
+++ b/tests/controllers/test_duty.py
@@ -21,8 +21,7 @@
         """What entitles is dated from the asking, not from the answer."""
 
         async def scenario(world):
-            fleets = world.fleets.values()
-            old = next(one for one in fleets if one.duty.held)
+            old = world.holder()
             world.records.knobs.answer_change_s = ANSWER_S
             old.stopping = True
             stored = world.records.kinds[links.LEADERS]
--- a/tests/controllers/test_gossip.py
+++ b/tests/controllers/test_gossip.py
@@ -54,9 +54,7 @@
 
     def test_nothing_is_promised_in_the_midst_of_a_change(self):
         async def scenario(world):
-            holder = next(
-                one for one in world.fleets.values() if one.duty.held
-            )
+            holder = world.holder()
             holder.failover._busy.add("ladder-1")
             note = holder.gossip.write("other")
             self.assertEqual(0.0, note.promise_s)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -310,10 +310,7 @@
 
     async def _leave(self):
         target = self.world.group.primary
-        entry = target.entry()
-        self.world.records.put(
-            links.TARGETS, target.name, attrs.evolve(entry, leaving=True)
-        )
+        self.world.leave(target)
         await self._for_a_while(4.0)
         self.world.records.put(links.TARGETS, target.name, target.entry())
 
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -173,6 +173,17 @@
             for target in group.targets.values():
                 self.records.put(links.TARGETS, target.name, target.entry())
 
+    def leave(self, target):
+        """Have a target say that it is about to stop."""
+        entry = attrs.evolve(target.entry(), leaving=True)
+        self.records.put(links.TARGETS, target.name, entry)
+
+    def holder(self):
+        """Return the instance that holds the promotion duty."""
+        found = [one for one in self.fleets.values() if one.duty.held]
+        assert len(found) == 1, found
+        return found[0]
+
     def start_instance(self, member):
         """Start one instance."""
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import attrs
-
 from balsamhinge import links
 from balsamhinge.policy import leases
 from balsamhinge.policy import statements
@@ -14,13 +12,6 @@
 Problem = statements.Problem
 
 
-def holder(world):
-    """Return the instance that holds the promotion duty."""
-    found = [one for one in world.fleets.values() if one.duty.held]
-    assert len(found) == 1, found
-    return found[0]
-
-
 async def write_until(caller, item, data, most=60):
     """Write until it is acknowledged; return how often it was tried."""
     for tries in range(1, most + 1):
@@ -34,6 +25,12 @@
 class PrimaryTest(virtual.FleetTestCase):
     """A group gets another primary, and nothing acknowledged is lost."""
 
+    def assert_nothing_lost(self, world):
+        """Check that the primary has each write that was acknowledged."""
+        kept = {entry.request_id for entry in world.group.primary.log}
+        for _at, request_id, _position in world.acknowledged:
+            self.assertIn(request_id, kept)
+
     def test_a_dark_primary_is_replaced(self):
         async def scenario(world):
             caller = world.caller("south-1", "posts")
@@ -138,15 +135,12 @@
             ]
             await asyncio.sleep(0.5)
             old = world.group.primary
-            entry = attrs.evolve(old.entry(), leaving=True)
-            world.records.put(links.TARGETS, old.name, entry)
+            world.leave(old)
             await asyncio.sleep(3.0)
             running = False
             await asyncio.gather(*tasks)
             self.assertIsNot(old, world.group.primary)
-            kept = {entry.request_id for entry in world.group.primary.log}
-            for _at, request_id, _position in world.acknowledged:
-                self.assertIn(request_id, kept)
+            self.assert_nothing_lost(world)
 
         self.run_fleet(scenario)
 
@@ -156,8 +150,7 @@
             await caller.ask(statements.Begin())
             await caller.ask(Direct(Access.WRITE, "a 1"))
             old = world.group.primary
-            entry = attrs.evolve(old.entry(), leaving=True)
-            world.records.put(links.TARGETS, old.name, entry)
+            world.leave(old)
             await asyncio.sleep(0.25)
             answer = await caller.ask(statements.Commit())
             self.assertIsNone(answer.problem)
@@ -169,7 +162,7 @@
 
     def test_a_commit_answered_after_a_change_is_in_doubt(self):
         async def scenario(world):
-            names = set(world.fleets) - {holder(world).me.name}
+            names = set(world.fleets) - {world.holder().me.name}
             name = min(names)
             caller = world.caller(name, "posts")
             await caller.write("a", "1")
@@ -184,8 +177,7 @@
             old.knobs.cut = set(world.fleets) - {name}
             old.knobs.deaf = True
             old.knobs.lonely = True
-            entry = attrs.evolve(old.entry(), leaving=True)
-            world.records.put(links.TARGETS, old.name, entry)
+            world.leave(old)
             answer = await writing
             self.assertEqual(Problem.IN_DOUBT, answer.problem)
 
@@ -202,9 +194,7 @@
             writing = [write_until(caller, "a", "1") for caller in callers]
             await asyncio.gather(*writing)
             self.assertIsNot(old, world.group.primary)
-            kept = {entry.request_id for entry in world.group.primary.log}
-            for _at, request_id, _position in world.acknowledged:
-                self.assertIn(request_id, kept)
+            self.assert_nothing_lost(world)
 
         self.run_fleet(scenario)
 
@@ -232,10 +222,10 @@
 
     def test_a_dead_holder_is_followed_by_another(self):
         async def scenario(world):
-            old = holder(world).me.name
+            old = world.holder().me.name
             await world.kill(old)
             await asyncio.sleep(4.0)
-            self.assertNotEqual(old, holder(world).me.name)
+            self.assertNotEqual(old, world.holder().me.name)
             world.group.primary.knobs.dark = True
             other = next(iter(world.fleets))
             await write_until(world.caller(other, "posts"), "a", "1")
@@ -246,7 +236,7 @@
     def test_fences_only_grow(self):
         async def scenario(world):
             for _round in range(3):
-                await world.kill(holder(world).me.name)
+                await world.kill(world.holder().me.name)
                 await asyncio.sleep(4.0)
                 old = world.group.primary
                 old.knobs.dark = True
@@ -262,11 +252,11 @@
 
     def test_all_instances_learn_of_a_new_holder(self):
         async def scenario(world):
-            old = holder(world).me.name
+            old = world.holder().me.name
             await world.kill(old)
             await asyncio.sleep(4.0)
             found = {one.duty.holder for one in world.fleets.values()}
-            self.assertEqual({holder(world).me.name}, found)
+            self.assertEqual({world.holder().me.name}, found)
             calm = [one.gossip.full_rounds for one in world.fleets.values()]
             self.assertEqual([0] * 5, calm)
 
@@ -290,7 +280,9 @@
 class StoreTest(virtual.FleetTestCase):
     """The platform's store fails, and what can be served goes on."""
 
-    def test_primaries_are_used_on_while_the_store_is_down(self):
+    def write_without_the_store(self, **options):
+        """Write at every instance while the store is down."""
+
         async def scenario(world):
             world.records.knobs.down = True
             callers = [world.caller(name, "posts") for name in world.fleets]
@@ -300,21 +292,14 @@
                     answer = await caller.write("a", "1")
                     self.assertIsNone(answer.problem)
 
-        self.run_fleet(scenario)
+        self.run_fleet(scenario, **options)
+
+    def test_primaries_are_used_on_while_the_store_is_down(self):
+        self.write_without_the_store()
 
     def test_a_large_fleet_uses_them_on_while_the_store_is_down(self):
         """Pattern: dozens of instances, none of which can ask all."""
-
-        async def scenario(world):
-            world.records.knobs.down = True
-            callers = [world.caller(name, "posts") for name in world.fleets]
-            for _second in range(6):
-                await asyncio.sleep(1.0)
-                for caller in callers:
-                    answer = await caller.write("a", "1")
-                    self.assertIsNone(answer.problem)
-
-        self.run_fleet(scenario, instances=10)
+        self.write_without_the_store(instances=10)
 
     def test_without_one_promise_leases_lapse_with_the_store(self):
         async def scenario(world):
