--- a/balsamhinge/controllers/directory.py
+++ b/balsamhinge/controllers/directory.py
@@ -71,6 +71,7 @@
                 self.as_of = None
                 await clock.pause(RESTING_S)
                 continue
+            begun = clock.now()
             try:
                 if self.as_of is None:
                     await self._read()
@@ -80,6 +81,14 @@
                 event(log.info, "history_gone", kind=self._kind)
                 self.as_of = None
             except exceptions.StoreUnavailable as exc:
+                event(
+                    log.info,
+                    "follow_failed",
+                    kind=self._kind,
+                    as_of=self.as_of,
+                    seconds=clock.now() - begun,
+                    error=exc,
+                )
                 self._health.failed(exc)
                 await clock.pause(RETRY_S * rng.uniform(0.7, 1.3))
 
@@ -184,8 +193,16 @@
     async def _follow_entries(self):
         await self.entries.run(self._rng)
 
-    def learn_table(self, table):
-        """Take in a configuration; an older one never replaces a newer."""
+    def learn_table(self, table, source):
+        """Take in a configuration; an older one never replaces a newer.
+
+        Parameters
+        ----------
+        table : RoutingTable or None
+            The configuration.
+        source : str
+            Who told: "store", or the name of an instance.
+        """
         if table is None or table.version <= self.table.version:
             return
         event(
@@ -194,13 +211,15 @@
             version=table.version,
             earlier=self.table.version,
             routes=len(table.routes),
+            source=source,
+            news_age_s=self.age_s(),
         )
         self.table = table
         self.table_changed.set()
 
     def _take_routes(self, follower):
         for record in follower.records.values():
-            self.learn_table(record.value)
+            self.learn_table(record.value, "store")
 
     def _take_entries(self, follower):
         found = [
--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -277,7 +277,7 @@
         if note.members:
             self._fleet.leaders.learn_members(note.members)
         self._fleet.duty.learn(note.holder, note.holder_revision, note.sender)
-        self._fleet.directory.learn_table(note.table)
+        self._fleet.directory.learn_table(note.table, note.sender)
         if note.targets is not None:
             self._fleet.directory.learn_targets(
                 note.targets_as_of, note.targets
