Give up a watch that the store never answers within 4 s, and probe its connection

Callers saw a confirmed configuration not in force for up to 21 s: added databases were refused, dropped ones still served, on every instance of the fleet at once.

Cause: silence taken for health. An instance that follows the store waits on a watch for 20 s and calls its news current as long as it waits. On a connection that has gone silent no answer ever comes, and nothing was sent that the kernel could miss an acknowledgement of. In a large fleet the others took the word of the two readers and the holder of the duty.

Mend: the kernel probes the connection, and ends one that does not answer within 3 s; a watch waits for 4 s, which also bounds a request that the store swallows.

--- a/balsamhinge/controllers/directory.py
+++ b/balsamhinge/controllers/directory.py
@@ -14,9 +14,10 @@
 
 __all__ = ["DirectoryController", "Follower"]
 
-# A watch waits so long; news that it misses come by other instances'
-# notes, so this only sets how often an idle watch is paid for.
-WATCH_S = 20.0
+# A watch waits so long. One that the store never answers passes for no news
+# until then, so it is short against the 4 s that the platform gives an
+# instance to be in touch again; each watch is paid for, so it is no shorter.
+WATCH_S = 4.0
 # Pause after a failed call: short against the 3 s in which a
 # configuration has to be in force.
 RETRY_S = 0.3
--- a/balsamhinge/platform/http.py
+++ b/balsamhinge/platform/http.py
@@ -17,6 +17,12 @@
 # Milliseconds without an acknowledgement after which the kernel gives a
 # connection up; longer than any call's own timeout needs to be exact.
 UNACKNOWLEDGED_MS = 3000
+# A connection on which a watch waits sends nothing that could go
+# unacknowledged. Probes of the kernel show within 3 s that it is dead: a
+# configuration has to be in force within that time.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
 
 
 @attrs.frozen
@@ -98,10 +104,7 @@
 
     async def _open(self):
         reader, writer = await asyncio.open_connection(self._host, self._port)
-        sock = writer.get_extra_info("socket")
-        sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS
-        )
+        _detect_silence(writer.get_extra_info("socket"))
         return _Connection(reader, writer, h11.Connection(h11.CLIENT))
 
     async def _exchange(self, conn, method, path, body, headers):
@@ -151,3 +154,15 @@
         """Close the idle connections."""
         while self._idle:
             self._idle.pop().abort()
+
+
+def _detect_silence(sock):
+    """Have the kernel end a connection whose other end does not answer."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in (
+        (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+    ):
+        sock.setsockopt(socket.IPPROTO_TCP, option, value)
--- a/balsamhinge/standins/records.py
+++ b/balsamhinge/standins/records.py
@@ -11,6 +11,8 @@
 
 # Changes that a watch may still ask for.
 HISTORY = 1000
+# A caller gives a watch up so long after the time that it asked for.
+WATCH_MARGIN_S = 1.0
 # Clocks do not advance by less than their resolution.
 LEAST_WAIT_S = 0.001
 
@@ -52,6 +54,7 @@
         self.kinds = {}
         self._history = []
         self._changed = asyncio.Event()
+        self._silent_since = float("-inf")
         self.calls = 0
 
     def link(self, instance):
@@ -80,6 +83,17 @@
         self._history = [(self.revision, None, None)]
         self._wake()
 
+    def silence_watches(self):
+        """Let each watch that waits now go unanswered, as later ones do not.
+
+        Connections that go silent are found out by a time-out only.
+        """
+        self._silent_since = asyncio.get_running_loop().time()
+
+    def is_silent(self, begun):
+        """Return whether a watch of that time is never answered."""
+        return begun <= self._silent_since
+
     def _note(self, kind, change):
         self._history.append((self.revision, kind, change))
         self._history = self._history[-HISTORY:]
@@ -143,10 +157,14 @@
         """See `RecordStore.watch`."""
         await self._reach()
         loop = asyncio.get_running_loop()
-        until = loop.time() + wait_s
+        begun = loop.time()
+        until = begun + wait_s
         while True:
             changes = self._records.since(kind, after)
             left_s = until - loop.time()
+            if self._records.is_silent(begun):
+                await asyncio.sleep(left_s + WATCH_MARGIN_S)
+                raise exceptions.StoreUnavailable("no answer")
             if changes or left_s < LEAST_WAIT_S:
                 break
             await self._records.changed(left_s)
--- a/tests/controllers/test_directory.py
+++ b/tests/controllers/test_directory.py
@@ -7,11 +7,14 @@
 from balsamhinge import links
 from tests.support import virtual
 
-__all__ = ["LargeFleetTest"]
+__all__ = ["LargeFleetTest", "SilentWatchTest"]
 
 LARGE = {"instances": 7}
 # A configuration has to be in force everywhere within this time.
 IN_FORCE_S = 3.0
+# The platform takes an instance to be in touch so long after its
+# connections were harmed.
+IN_TOUCH_S = 4.0
 
 
 async def wait_in_force(world, version):
@@ -71,3 +74,31 @@
             self.assertLess(took_s, IN_FORCE_S)
 
         self.run_fleet(scenario, **LARGE)
+
+
+class SilentWatchTest(virtual.FleetTestCase):
+    """Pattern: open connections go silent while new ones work."""
+
+    def time_to_force(self, **options):
+        """Return how long a change takes after all watches went silent."""
+        took_s = []
+
+        async def scenario(world):
+            # Watches that have just begun would wait the longest.
+            world.configure()
+            await asyncio.sleep(1.0)
+            world.records.silence_watches()
+            await asyncio.sleep(IN_TOUCH_S)
+            table = world.configure()
+            took_s.append(await wait_in_force(world, table.version))
+
+        self.run_fleet(scenario, **options)
+        return took_s[0]
+
+    # Guards against a watch that is never answered passing for no news.
+    def test_silent_watches_do_not_delay_a_configuration(self):
+        self.assertLess(self.time_to_force(), IN_FORCE_S)
+
+    # The same where a few instances follow the store for all.
+    def test_silent_watches_of_few_readers_delay_no_configuration(self):
+        self.assertLess(self.time_to_force(**LARGE), IN_FORCE_S)
