Wait for an answer of the store as long as it keeps coming

Class: one limit of time for a call of any size. Now the limit is for the beginning of an answer and for each further piece, 8 s at the most.

--- a/balsamhinge/platform/http.py
+++ b/balsamhinge/platform/http.py
@@ -14,6 +14,10 @@
 # Idle connections that are kept for the next call.
 MOST_IDLE = 4
 READ_BYTES = 65536
+# Seconds for each further piece of an answer that has begun, and for all of
+# it: 1 MB, the most that the store holds, over 1 Mbit/s.
+PIECE_S = 1.0
+ANSWER_S = 8.0
 # Milliseconds without an acknowledgement after which the kernel gives a
 # connection up; longer than any call's own timeout needs to be exact.
 UNACKNOWLEDGED_MS = 3000
@@ -69,7 +73,8 @@
         headers : iterable of tuple of str
             Beside those that each request has.
         timeout_s : float
-            Seconds for the whole call.
+            Seconds until the answer begins; a large one may take longer
+            while its pieces arrive.
 
         Raises
         ------
@@ -78,11 +83,10 @@
         """
         conn = None
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as limit:
                 conn = self._idle.pop() if self._idle else await self._open()
-                response = await self._exchange(
-                    conn, method, path, body, headers
-                )
+                self._send(conn, method, path, body, headers)
+                response = await _receive(conn, limit)
         except (
             OSError,
             TimeoutError,
@@ -107,7 +111,7 @@
         _detect_silence(writer.get_extra_info("socket"))
         return _Connection(reader, writer, h11.Connection(h11.CLIENT))
 
-    async def _exchange(self, conn, method, path, body, headers):
+    def _send(self, conn, method, path, body, headers):
         content = b"" if body is None else json.dumps(body).encode()
         request = h11.Request(
             method=method,
@@ -124,20 +128,6 @@
             data += conn.machine.send(h11.Data(data=content))
         data += conn.machine.send(h11.EndOfMessage())
         conn.writer.write(data)
-        status, received = 0, bytearray()
-        while True:
-            event = conn.machine.next_event()
-            if event is h11.NEED_DATA:
-                conn.machine.receive_data(await conn.reader.read(READ_BYTES))
-            elif isinstance(event, h11.Response):
-                status = event.status_code
-            elif isinstance(event, h11.Data):
-                received += event.data
-            elif isinstance(event, h11.EndOfMessage):
-                break
-            elif isinstance(event, h11.ConnectionClosed):
-                raise ValueError("closed without a response")
-        return HttpResponse(status, json.loads(received or b"null"))
 
     def _keep(self, conn):
         reusable = (
@@ -166,3 +156,31 @@
         (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
+
+
+async def _receive(conn, limit):
+    """Return the `HttpResponse` that comes on a connection.
+
+    Parameters
+    ----------
+    conn : _Connection
+        Where a request was sent.
+    limit : asyncio.Timeout
+        Is put off while the answer arrives.
+    """
+    loop = asyncio.get_running_loop()
+    status, received, ends_at = 0, bytearray(), None
+    while True:
+        event = conn.machine.next_event()
+        if event is h11.NEED_DATA:
+            conn.machine.receive_data(await conn.reader.read(READ_BYTES))
+            ends_at = ends_at or loop.time() + ANSWER_S
+            limit.reschedule(min(ends_at, loop.time() + PIECE_S))
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+        elif isinstance(event, h11.Data):
+            received += event.data
+        elif isinstance(event, h11.EndOfMessage):
+            return HttpResponse(status, json.loads(received or b"null"))
+        elif isinstance(event, h11.ConnectionClosed):
+            raise ValueError("closed without a response")
