Follow a list of several pages from its first page

A list took the revision of its last page for all of it. What changed on an earlier page meanwhile was in neither the list nor the watch that followed, so that an entry that had left stayed in use. The new test fails before.

--- a/balsamhinge/platform/objects.py
+++ b/balsamhinge/platform/objects.py
@@ -41,17 +41,20 @@
 
     async def list(self, kind):
         """See `RecordStore.list`."""
-        records, after = {}, ""
+        records, after, as_of = {}, "", None
         for _page in range(LIST_PAGES):
             query = f"?after={urllib.parse.quote(after)}" if after else ""
             body = await self._call("GET", self._path(kind) + query)
+            # What changes on an earlier page meanwhile comes with a watch
+            # from there.
+            as_of = int(body["as_of"]) if as_of is None else as_of
             for item in body["items"]:
                 record = _record(kind, item)
                 records[record.name] = record
                 after = record.name
             if not body.get("more") or not body["items"]:
                 break
-        return links.Listing(records, int(body["as_of"]))
+        return links.Listing(records, as_of)
 
     async def watch(self, kind, after, wait_s):
         """See `RecordStore.watch`."""
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -158,6 +158,8 @@
         self._groups = groups
         self.promotions = []
         self.refuse_next = []
+        # Called once after the next answer, as by another writer.
+        self.change_next = None
         self._server = None
         self.address = ""
 
@@ -193,6 +195,9 @@
                 body += event.data
             elif isinstance(event, h11.EndOfMessage):
                 status, content = await self._answer(request, body)
+                if self.change_next is not None:
+                    self.change_next()
+                    self.change_next = None
                 data = json.dumps(content).encode()
                 response = h11.Response(
                     status_code=status,
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -238,3 +238,24 @@
             server.stop()
 
         asyncio.run(run())
+
+    # Guards against an entry that leaves while later pages of the list are
+    # read, and is used as if it had not.
+    def test_a_change_between_two_pages_is_not_missed(self):
+        async def run():
+            served = records.Records()
+            server = standins.ObjectServer(served, {})
+            await server.start()
+            store = objects.PlatformObjects(server.address)
+            for name in "abcde":
+                served.put("leaders", name, {})
+            server.change_next = lambda: served.drop("leaders", "a")
+            listing = await store.list("leaders")
+            changes = await store.watch("leaders", listing.as_of, 0.2)
+            store.close()
+            server.stop()
+            return changes.changes
+
+        (change,) = asyncio.run(run())
+        self.assertEqual("a", change.record.name)
+        self.assertTrue(change.deleted)
