Log lines may have a field called name

Found in the lines of our own tests while other causes of CONFIG were looked for: an entry of a target that cannot be read, or a configuration that cannot, was to be logged with its name; event() took that for its own argument and raised TypeError. That ended the loop which follows all entries, which read the list anew each 0.5 s and took nothing in for as long as the entry stood: a target that leaves went unnoticed on every instance.

The test that covered unreadable entries only looked at what was known before. The new one fails before (it waits for ever).

--- a/balsamhinge/logs.py
+++ b/balsamhinge/logs.py
@@ -152,7 +152,7 @@
     _request_id.set(request_id)
 
 
-def event(write, name, **fields):
+def event(write, name, /, **fields):
     """Write one line, unless its level is below the least one.
 
     Parameters
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -174,6 +174,21 @@
 
         self.run_platform(scenario)
 
+    # Guards against an entry of another writer that ends the following of
+    # all entries.
+    def test_an_entry_that_cannot_be_read_hides_no_other(self):
+        async def scenario(platform):
+            platform.records.put("servers", "other", {"state": "odd"})
+            leaving = platform.group.targets["ladder-2"]
+            port = platform.targets[leaving.name].port
+            spec = standins.entry(leaving, port, state="draining")
+            platform.records.put("servers", leaving.name, spec)
+            directory = platform.daemon.fleet.directory
+            while not directory.targets[leaving.name].leaving:
+                await asyncio.sleep(0.01)
+
+        self.run_platform(scenario)
+
     def test_readiness_and_metrics(self):
         async def scenario(platform):
             lines = await standins.Lines.open(platform.settings.readiness)
