Take only the configuration's own object, and all of it that can be read

Found by reading, for the users' "an invalid one was taken": any object of the configuration's kind with a higher version was taken for the one in force; one route that cannot be read, or a field without a value, kept the whole version out. Now only the object that holds the configuration counts, and routes that cannot be read are left out and named in one line.

--- a/balsamhinge/platform/decoding.py
+++ b/balsamhinge/platform/decoding.py
@@ -20,29 +20,65 @@
 IDLE_TRANSACTION_MS = 3000
 # Used where a route leaves its bound out: the least of today's routes.
 TIMEOUT_MS = 800
+# The one object that holds the configuration in force.
+CONFIGURATION = "main"
+# What another writer's text raises where it is read as a number or a list.
+UNREADABLE = (KeyError, TypeError, ValueError, AttributeError)
+# Findings that one log line names at most.
+MOST_FINDINGS = 3
 
 log = logbook.Logger(__name__)
 
 
 def routing_table(name, spec):
-    """Return the `RoutingTable` in a configuration object, or None."""
+    """Return the `RoutingTable` in a configuration object, or None.
+
+    A route that cannot be read is left out, so that the others are in
+    force; all of them are named in one line.
+    """
+    if name != CONFIGURATION:
+        event(log.warning, "configuration_ignored", name=name)
+        return None
+    found, unreadable = {}, []
     try:
-        found = [_route(item) for item in spec["routes"]]
+        for place, item in enumerate(spec["routes"]):
+            try:
+                route = _route(item)
+                found[route.database] = route
+            except UNREADABLE as exc:
+                unreadable.append(f"route {place}: {exc!r}")
         groups = [
             routes.GroupLimits(str(s["name"]), int(s["max_conns"]))
             for s in spec["services"]
         ]
         limits = spec.get("limits") or {}
-        idle_ms = limits.get("tx_idle_ms", IDLE_TRANSACTION_MS)
-        return routes.RoutingTable(
+        table = routes.RoutingTable(
             version=int(spec["version"]),
-            routes={route.database: route for route in found},
+            routes=found,
             groups={group.group: group for group in groups},
-            idle_transaction_s=idle_ms / MILLISECONDS,
+            idle_transaction_s=_number(
+                limits, "tx_idle_ms", IDLE_TRANSACTION_MS
+            )
+            / MILLISECONDS,
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except UNREADABLE as exc:
         event(log.error, "configuration_unreadable", name=name, error=exc)
         return None
+    if unreadable:
+        event(
+            log.error,
+            "routes_unreadable",
+            version=table.version,
+            count=len(unreadable),
+            findings="; ".join(unreadable[:MOST_FINDINGS]),
+        )
+    return table
+
+
+def _number(item, field, default):
+    """Return a field that may be left out, or be there without a value."""
+    value = item.get(field)
+    return default if value is None else value
 
 
 def _route(item):
@@ -51,10 +87,10 @@
         database=str(item["database"]),
         group=str(item["service_name"]),
         freshness=FRESHNESS[item["route_type"]],
-        max_age_s=item.get("max_staleness_ms", 0) / MILLISECONDS,
-        timeout_s=item.get("timeout_ms", TIMEOUT_MS) / MILLISECONDS,
-        aim_s=item.get("target_latency_ms", TIMEOUT_MS) / MILLISECONDS,
-        priority=int(item.get("priority", 0)),
+        max_age_s=_number(item, "max_staleness_ms", 0) / MILLISECONDS,
+        timeout_s=_number(item, "timeout_ms", TIMEOUT_MS) / MILLISECONDS,
+        aim_s=_number(item, "target_latency_ms", TIMEOUT_MS) / MILLISECONDS,
+        priority=int(_number(item, "priority", 0)),
     )
 
 
@@ -62,7 +98,7 @@
     """Return the `ServingTarget` that an entry describes, or None."""
     try:
         return _target(name, spec)
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except UNREADABLE as exc:
         event(log.debug, "target_entry_unreadable", name=name, error=exc)
         return None
 
