Fail a test in which a loop ended by an unforeseen error

A loop that had ended was started anew with a line that no test read, which hid that unreadable entries stopped all following of entries.

--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -14,6 +14,7 @@
 from balsamhinge.standins import records
 from balsamhinge.standins import replicas
 from tests.platform import standins
+from tests.support import virtual
 
 # A hang ends the test; no verdict depends on this time.
 HANG_S = 60.0
@@ -88,7 +89,10 @@
             finally:
                 await platform.stop()
 
-        asyncio.run(run())
+        ended = virtual.EndedLoops()
+        with ended.applicationbound():
+            asyncio.run(run())
+        self.assertEqual([], ended.lines)
 
     def test_a_session_from_start_to_end(self):
         async def scenario(platform):
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -2,13 +2,30 @@
 
 import asyncio
 
+import logbook
 import testtools
 
 from balsamhinge.policy import leases
 from tests.support import fleet
 from tests.support import world
 
-__all__ = ["FleetTestCase"]
+__all__ = ["EndedLoops", "FleetTestCase"]
+
+# Lines that a running instance must never write.
+UNFORESEEN = ("event=loop_failed", "event=task_failed")
+
+
+class EndedLoops(logbook.Handler):
+    """Collects the lines that tell of an unforeseen error."""
+
+    def __init__(self):
+        super().__init__(bubble=True)
+        self.lines = []
+
+    def emit(self, record):
+        """See `logbook.Handler`."""
+        if record.message.startswith(UNFORESEEN):
+            self.lines.append(record.message)
 
 
 class FleetTestCase(testtools.TestCase):
@@ -27,4 +44,7 @@
             finally:
                 await running.stop()
 
-        world.run_virtual(run())
+        ended = EndedLoops()
+        with ended.applicationbound():
+            world.run_virtual(run())
+        self.assertEqual([], ended.lines)
