Start a loop anew also when what it waited for was cancelled

A cancellation from outside ended a loop for good and without a line; that had hidden the death of the duty's loop before. The test fails before.

--- a/balsamhinge/fleet.py
+++ b/balsamhinge/fleet.py
@@ -205,7 +205,11 @@
         while True:
             try:
                 await run()
-            except Exception as exc:
+            except (Exception, asyncio.CancelledError) as exc:
+                # Something that the loop waited for may be cancelled, and
+                # not the loop itself.
+                if asyncio.current_task().cancelling():
+                    raise
                 event(
                     log.error,
                     "loop_failed",
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,10 +2,14 @@
 
 import asyncio
 
+import testtools
+
 from balsamhinge import links
 from balsamhinge.policy import leases
 from balsamhinge.policy import statements
+from tests.support import fleet
 from tests.support import virtual
+from tests.support import world as virtual_world
 
 Access = statements.Access
 Direct = statements.Direct
@@ -22,6 +26,34 @@
     raise AssertionError(f"not written: {answer}")
 
 
+class LoopTest(testtools.TestCase):
+    """What an instance does by itself goes on after an error."""
+
+    # Guards against a loop that ends for good, without a line, because
+    # something that it waited for was cancelled.
+    def test_a_loop_is_started_anew_after_each_error(self):
+        errors = [ValueError("x"), asyncio.CancelledError()]
+        ended = virtual.EndedLoops()
+
+        async def run():
+            while errors:
+                raise errors.pop()
+            await asyncio.sleep(3600.0)
+
+        async def scenario():
+            world = fleet.FleetWorld(instances=1)
+            one = world.start_instance(world.members[0])
+            task = one.spawn(one._keep_running(run))
+            await asyncio.sleep(2.0)
+            running = not task.done()
+            await world.stop()
+            return running
+
+        with ended.applicationbound():
+            self.assertTrue(virtual_world.run_virtual(scenario()))
+        self.assertEqual(2, len(ended.lines))
+
+
 class PrimaryTest(virtual.FleetTestCase):
     """A group gets another primary, and nothing acknowledged is lost."""
 
