Record whom a change promotes before it asks, and hand the duty over after it

Timeline there: 38.87 front-bkk-c-1 asks for two promotions and is stopped; 39.19 front-bkk-a-2 takes the duty without a wait, since c-1 says it leaves; 39.41 it resumes both changes, finds the old primaries still leading and records them; 39.47 the promotions take effect; 40.11 and 40.30 writes are acknowledged at the old primaries.

Cause: the record of a change did not say that a promotion might be under way, and a leaving holder counted as one that makes no call any more while its call was.

Mend: the target that is to lead is recorded before the platform is asked. Whoever resumes such a change uses the old primary again only by promoting it, and only after every earlier call has taken effect or never will. A leaving holder keeps the duty until its change has ended. A holder whose last reading is older than 1.5 s begins no change: front-bkk-a-15, cut off at 33.5 s, announced two changes by old news when the cut healed.

Ruled out: a lapsed lease (the record named the old primary), the cut itself (both primaries were reached).

--- a/balsamhinge/controllers/duty.py
+++ b/balsamhinge/controllers/duty.py
@@ -63,12 +63,16 @@
         """Return whether the last reading shows this instance."""
         return self.holder == self._fleet.me.name
 
+    def confirmed(self):
+        """Return whether a recent reading shows this instance."""
+        read_at = self._fleet.leaders.duty_read_at
+        age_s = self._fleet.links.boot_time() - read_at
+        return self.held and age_s < ENTITLED_S
+
     def entitled(self):
         """Return whether the platform may be called right now."""
-        leaders = self._fleet.leaders
         now = self._fleet.links.boot_time()
-        fresh = now - leaders.duty_read_at < ENTITLED_S
-        return self.held and fresh and now >= self.usable_from
+        return self.confirmed() and now >= self.usable_from
 
     def promise_s(self):
         """Return for how long this instance begins no change."""
@@ -157,20 +161,29 @@
         gossip = self._fleet.gossip
         if self.holder:
             running_s = clock.now() - self._fleet.started_at
-            if running_s < SETTLE_S or gossip.is_live(self.holder):
+            if running_s < SETTLE_S or self._is_kept():
                 return False
-            leaving = gossip.has_left(self.holder)
-            if gossip.full_rounds < FULL_ROUNDS and not leaving:
+            handed_over = gossip.has_handed_over(self.holder)
+            if gossip.full_rounds < FULL_ROUNDS and not handed_over:
                 return False
         return self._rank() == 0
 
+    def _is_kept(self):
+        """Return whether the holder is reached and goes on."""
+        gossip = self._fleet.gossip
+        reached = self.holder in self._fleet.leaders.members and (
+            not gossip.is_silent(self.holder)
+        )
+        return reached and not gossip.has_handed_over(self.holder)
+
     async def _take(self):
         """Take the duty over by a conditional change."""
+        gossip = self._fleet.gossip
         holder = self._fleet.leaders.members.get(self.holder)
-        if holder is not None and not self._fleet.gossip.has_left(holder.name):
+        if holder is not None and not gossip.has_handed_over(holder.name):
             # It may be slow to answer, as many ask it; a fleet in which
             # the duty goes round changes no primary.
-            await self._fleet.gossip.ask(holder)
+            await gossip.ask(holder)
             if not self._should_take():
                 return
         await self._read()
@@ -187,9 +200,8 @@
             revision,
         )
         previous = earlier.value["holder"] if earlier else ""
-        # An instance that says it is leaving makes no call any more.
-        left = not previous or self._fleet.gossip.has_left(previous)
-        wait_s = 0.0 if left else HANDOVER_S
+        free = not previous or gossip.has_handed_over(previous)
+        wait_s = 0.0 if free else HANDOVER_S
         self.fence = record.revision
         self.revision = record.revision
         self.holder = self._fleet.me.name
--- a/balsamhinge/controllers/failover.py
+++ b/balsamhinge/controllers/failover.py
@@ -59,6 +59,8 @@
         self._spread_since = {}
         self._probing = set()
         self._forgotten_at = 0.0
+        # Boot-clock seconds of the last promotion that was asked for here.
+        self._asked_at = float("-inf")
 
     @property
     def changing(self):
@@ -69,7 +71,8 @@
         """Watch for ever."""
         while True:
             await clock.pause(STEP_S)
-            if not self._fleet.duty.held or self._fleet.stopping:
+            # One that was cut off holds the duty by old news only.
+            if not self._fleet.duty.confirmed() or self._fleet.stopping:
                 continue
             for group in self._fleet.directory.table.groups:
                 if group not in self._busy:
@@ -241,7 +244,7 @@
         first = leases.Leadership(group, max(leading)[1], 1)
         await self._put(first, 0)
 
-    async def _put(self, leadership, revision):
+    async def _put(self, leadership, revision, tell=True):
         """Write a record, learn it and tell all instances."""
         record = await leaders_module.put_record(
             self._fleet.links.store,
@@ -251,7 +254,8 @@
         )
         stored = attrs.evolve(leadership, revision=record.revision)
         self._fleet.leaders.learn(stored, "own")
-        self._fleet.spawn(self._fleet.gossip.ask_all())
+        if tell:
+            self._fleet.spawn(self._fleet.gossip.ask_all())
         return stored
 
     async def _change(self, known, reason, orderly):
@@ -266,12 +270,18 @@
         announced_at = fleet.links.boot_time()
         confirmed = await self._await_departure(known, announced_at)
         left_s = clock.now() - begun
+        # Before that, an earlier holder may still ask for a promotion.
+        await self._await_entitlement()
         chosen, term = await self._choose(known, orderly)
         if chosen is None:
             raise exceptions.NotRunError(
                 f"no target of {known.group} can take over"
             )
-        if chosen != known.target or reason == "usurped":
+        stays = chosen == known.target and not known.successor
+        if not stays or reason == "usurped":
+            # Whoever resumes this change must not use the old primary.
+            successor = attrs.evolve(known, successor=chosen)
+            known = await self._put(successor, known.revision, tell=False)
             term = await self._promote(known, chosen, term)
         done = attrs.evolve(
             known,
@@ -279,6 +289,7 @@
             epoch=known.epoch + 1,
             changing=False,
             orderly=False,
+            successor="",
         )
         await self._put(done, known.revision)
         event(
@@ -295,7 +306,7 @@
             departure_s=left_s,
             total_s=clock.now() - begun,
         )
-        if chosen != known.target:
+        if done.target != known.target:
             fleet.spawn(self._step_down(known.target, term))
 
     async def _await_departure(self, known, announced_at):
@@ -350,8 +361,8 @@
             term = max((r.term for r in reports.values()), default=0)
             avoided = {target.name for target in targets if target.leaving}
             own = reports.get(known.target)
-            returned = own is not None and not orderly
-            if returned and old is not None and not old.leaving:
+            returned = own is not None and self._may_return(known)
+            if returned and not orderly and not old.leaving:
                 chosen = succession.choose_successor(reports, avoided)
                 if own.term == term and (
                     own.role is routes.TargetRole.PRIMARY
@@ -383,6 +394,18 @@
                 return known.target, term
             await clock.pause(POLL_S)
 
+    def _may_return(self, known):
+        """Return whether the old primary may be chosen again.
+
+        Not while a promotion that may have been asked for can still take
+        effect.
+        """
+        if not known.successor:
+            return True
+        asked_at = max(self._fleet.duty.usable_from, self._asked_at)
+        over_at = asked_at + PROMOTE_S + TAKE_OVER_S
+        return self._fleet.links.boot_time() >= over_at
+
     async def _reports(self, targets):
         """Return the reports of those targets that answer."""
 
@@ -405,12 +428,18 @@
             if one is not None
         }
 
-    async def _promote(self, known, chosen, term):
-        fleet = self._fleet
-        while not fleet.duty.entitled():
-            if not fleet.duty.held:
+    async def _await_entitlement(self):
+        """Wait until this instance may call the platform."""
+        duty = self._fleet.duty
+        while not duty.entitled():
+            if not duty.held:
                 raise exceptions.NotRunError("the duty has passed on")
             await clock.pause(POLL_S)
+
+    async def _promote(self, known, chosen, term):
+        fleet = self._fleet
+        await self._await_entitlement()
+        self._asked_at = fleet.links.boot_time()
         event(
             log.notice,
             "promotion_asked",
--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -163,10 +163,13 @@
             return False
         return not self.last_notes[name].leaving
 
-    def has_left(self, name):
-        """Return whether an instance said that it is about to stop."""
+    def has_handed_over(self, name):
+        """Return whether an instance that is about to stop changes nothing.
+
+        It begins no change any more, and none is under way there.
+        """
         note = self.last_notes.get(name)
-        return note is not None and note.leaving
+        return note is not None and note.leaving and note.promise_s > 0
 
     def live(self):
         """Return the instances that answered lately, this one included."""
--- a/balsamhinge/controllers/leaders.py
+++ b/balsamhinge/controllers/leaders.py
@@ -353,6 +353,7 @@
         epoch=value["epoch"],
         changing=value["changing"],
         orderly=value["orderly"],
+        successor=value.get("successor", ""),
         revision=record.revision,
     )
 
@@ -375,6 +376,7 @@
         "epoch": leadership.epoch,
         "changing": leadership.changing,
         "orderly": leadership.orderly,
+        "successor": leadership.successor,
     }
 
 
--- a/balsamhinge/policy/leases.py
+++ b/balsamhinge/policy/leases.py
@@ -43,6 +43,8 @@
         Whether a change has been announced: nobody is to use the primary.
     orderly : bool
         Whether the old primary is to end its work before the change.
+    successor : str
+        Target that the platform may have been asked to promote.
     revision : int
         The store's revision of the record.
     """
@@ -52,6 +54,7 @@
     epoch: int
     changing: bool = False
     orderly: bool = False
+    successor: str = ""
     revision: int = 0
 
 
--- a/balsamhinge/standins/replicas.py
+++ b/balsamhinge/standins/replicas.py
@@ -189,6 +189,8 @@
         self.name = name
         self.targets = {}
         self.runs = []
+        # Seconds from the call until a promotion takes effect.
+        self.promote_s = PROMOTE_S
         self.promotions = []
         self.transactions = itertools.count(1)
         for number, centre in enumerate(data_centres, 1):
@@ -221,14 +223,28 @@
                 if target.term <= primary.term:
                     target.follow(primary)
 
-    async def promote(self, name):
-        """Make a target the primary, as the platform does."""
+    def ask_promotion(self, name):
+        """Have a target made the primary a little later.
+
+        Whoever asked may be gone by then.
+        """
         chosen = self.targets[name]
         if chosen.knobs.dark:
             raise exceptions.PromotionRefused(name)
         if chosen is self.primary and chosen.role is Role.PRIMARY:
             return
-        await asyncio.sleep(PROMOTE_S)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.promote_s, self._promote, name)
+
+    async def promote(self, name):
+        """Make a target the primary, and wait until it leads."""
+        self.ask_promotion(name)
+        await asyncio.sleep(self.promote_s + RECEIVE_S)
+
+    def _promote(self, name):
+        chosen = self.targets[name]
+        if chosen.knobs.dark:
+            return
         self.promotions.append(name)
         newest = max(target.term for target in self.targets.values())
         chosen.term = newest + 1
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -176,7 +176,7 @@
         """See `PromotionLink.promote`."""
         await asyncio.sleep(DELAY_S)
         self._world.promotions.append((holder, fence, target))
-        await self._world.groups[group].promote(target)
+        self._world.groups[group].ask_promotion(target)
 
 
 class FleetWorld:
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -48,3 +48,9 @@
         with ended.applicationbound():
             world.run_virtual(run())
         self.assertEqual([], ended.lines)
+
+    def assert_nothing_lost(self, world):
+        """Check that the primary has each write that was acknowledged."""
+        kept = {entry.request_id for entry in world.group.primary.log}
+        for _at, request_id, _position in world.acknowledged:
+            self.assertIn(request_id, kept)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -57,12 +57,6 @@
 class PrimaryTest(virtual.FleetTestCase):
     """A group gets another primary, and nothing acknowledged is lost."""
 
-    def assert_nothing_lost(self, world):
-        """Check that the primary has each write that was acknowledged."""
-        kept = {entry.request_id for entry in world.group.primary.log}
-        for _at, request_id, _position in world.acknowledged:
-            self.assertIn(request_id, kept)
-
     def test_a_dark_primary_is_replaced(self):
         async def scenario(world):
             caller = world.caller("south-1", "posts")
