Take the duty only where others answer, and once

Cause: a silent holder was judged by one instance's own view, and a holder just learned of from the store counted as silent, as nobody had heard it yet.

Mend: before the duty is taken up to 16 others are asked; whoever reaches half of them or fewer waits until the holder has been silent for 6 s, longer than cuts mostly last. A holder that was not the one asked is left alone.

The last instance left still takes the duty (new test, passes before too).

--- a/balsamhinge/controllers/duty.py
+++ b/balsamhinge/controllers/duty.py
@@ -36,6 +36,14 @@
 SETTLE_S = 1.5
 # Rounds of notes with all instances before the holder is followed.
 FULL_ROUNDS = 2
+# Instances asked before the duty is taken from a silent holder. Whoever
+# reaches half of them or fewer is more likely cut off than the holder.
+SURVEY = 16
+# ... and takes it only after so long, longer than cuts mostly last, as the
+# others may all have died.
+MINORITY_S = 6.0
+# Pause after that before they are asked again.
+SURVEY_PAUSE_S = 0.5
 
 log = logbook.Logger(__name__)
 
@@ -176,18 +184,45 @@
         )
         return reached and not gossip.has_handed_over(self.holder)
 
-    async def _take(self):
-        """Take the duty over by a conditional change."""
+    async def _may_follow(self, holder):
+        """Return whether the holder, and not this instance, is cut off."""
         gossip = self._fleet.gossip
-        holder = self._fleet.leaders.members.get(self.holder)
-        if holder is not None and not gossip.has_handed_over(holder.name):
+        member = self._fleet.leaders.members.get(holder)
+        if member is not None:
             # It may be slow to answer, as many ask it; a fleet in which
             # the duty goes round changes no primary.
-            await gossip.ask(holder)
+            await gossip.ask(member)
             if not self._should_take():
+                return False
+        if not holder:
+            return True
+        asked, answered = await gossip.survey(SURVEY)
+        # This instance counts as one that is asked and answers.
+        most_answer = 2 * (answered + 1) > asked + 1
+        silent_s = gossip.silent_s(holder)
+        if not most_answer and silent_s < MINORITY_S:
+            event(
+                log.notice,
+                "duty_not_taken",
+                holder=holder,
+                silent_s=silent_s,
+                asked=asked,
+                answered=answered,
+            )
+            await clock.pause(SURVEY_PAUSE_S)
+            return False
+        return self._should_take()
+
+    async def _take(self):
+        """Take the duty over by a conditional change."""
+        holder = self.holder
+        gossip = self._fleet.gossip
+        if not gossip.has_handed_over(holder):
+            if not await self._may_follow(holder):
                 return
         await self._read()
-        if not self._should_take():
+        # Another one that was first may be well.
+        if self.holder != holder or not self._should_take():
             return
         leaders = self._fleet.leaders
         earlier = leaders.duty
--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -157,6 +157,27 @@
         self.take(answer, asked_at, begun)
         return answer
 
+    async def survey(self, most):
+        """Ask some other instances at once, drawn at random.
+
+        Parameters
+        ----------
+        most : int
+            How many at most.
+
+        Returns
+        -------
+        asked, answered : int
+        """
+        members = self._some(self._fleet.other_members(), most)
+        answers = await asyncio.gather(*(self.ask(one) for one in members))
+        return len(members), sum(one is not None for one in answers)
+
+    def silent_s(self, name):
+        """Return for how long an instance has not been heard."""
+        fleet = self._fleet
+        return clock.now() - self.heard_at.get(name, fleet.started_at)
+
     def is_silent(self, name):
         """Return whether an instance has not answered lately."""
         heard = self.heard_at.get(name, float("-inf"))
--- a/tests/controllers/test_duty.py
+++ b/tests/controllers/test_duty.py
@@ -8,7 +8,7 @@
 from balsamhinge import links
 from tests.support import virtual
 
-__all__ = ["EntitlementTest"]
+__all__ = ["EntitlementTest", "SuccessionTest"]
 
 ANSWER_S = 0.9
 STEP_S = 0.002
@@ -38,3 +38,55 @@
             self.assertFalse(new.duty.entitled())
 
         self.run_fleet(scenario)
+
+
+class SuccessionTest(virtual.FleetTestCase):
+    """The duty moves once, to one that the others reach."""
+
+    def takings(self, world):
+        """Return who has held the duty, in order."""
+        return [
+            change.record.value["holder"]
+            for _revision, kind, change in world.records._history
+            if kind == links.LEADERS and change.record.name == leaders.DUTY_KEY
+        ]
+
+    def cut_off(self, world, name):
+        """Cut an instance off from all others, but not from the store."""
+        for other in world.fleets:
+            if other != name:
+                world.cuts.add(frozenset((name, other)))
+
+    # Guards against a cut-off instance that takes the duty again and again
+    # from one whom all others reach, so that no primary is changed.
+    def test_one_that_is_cut_off_leaves_the_duty_alone(self):
+        async def scenario(world):
+            holder = world.holder().me.name
+            name = next(one for one in world.fleets if one != holder)
+            self.cut_off(world, name)
+            await asyncio.sleep(duty.MINORITY_S - 0.5)
+            self.assertEqual([holder], self.takings(world))
+
+        self.run_fleet(scenario)
+
+    # Guards against a duty that passes through several hands because each
+    # one takes the one before it for silent.
+    def test_the_duty_of_a_dead_holder_moves_once(self):
+        async def scenario(world):
+            await world.kill(world.holder().me.name)
+            await asyncio.sleep(5.0)
+            self.assertEqual(2, len(self.takings(world)))
+
+        self.run_fleet(scenario, instances=7)
+
+    def test_the_last_instance_left_takes_the_duty(self):
+        async def scenario(world):
+            holder = world.holder().me.name
+            last = next(one for one in world.fleets if one != holder)
+            for name in list(world.fleets):
+                if name != last:
+                    await world.kill(name)
+            await asyncio.sleep(duty.MINORITY_S + 2.0)
+            self.assertEqual(last, world.holder().me.name)
+
+        self.run_fleet(scenario)
