Let the test's first call outlast the time for which a channel is kept

A call that ends before that gives no channel up, so the test no longer came to what it checks, and waited for 20 s. What it expects is the same.

--- a/tests/peers/test_fleet.py
+++ b/tests/peers/test_fleet.py
@@ -29,7 +29,7 @@
                 peers = fleet.GrpcFleetPeers(security.PeerSecurity(""))
                 asked = [
                     peers.exchange(member, notes.Note("two"), timeout_s)
-                    for timeout_s in (0.2, 30.0, 30.0)
+                    for timeout_s in (1.3 * fleet.KEEP_S, 30.0, 30.0)
                 ]
                 found = await asyncio.gather(*asked, return_exceptions=True)
                 await peers.close()
