Refuse requests at once while leases have lapsed for long

Callers of an instance that had lost the store and some of the others, but reached others, waited for their deadline and had no time left to try another instance.

Requests now wait for 0.4 s after leases have lapsed, and are refused at once from then on; nothing of them was sent. Ruled out: refusing at once when leases lapse, as one read of the store often renews them.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -16,6 +16,12 @@
 Problem = statements.Problem
 
 
+# Leases of all instances have lapsed by then, and so has the time for which
+# requests wait for their return.
+LAPSED_S = 1.0
+AT_ONCE_S = 0.01
+
+
 async def write_with_retries(caller, item, data, max_attempts=60):
     """Retry a write until it is acknowledged; return the attempts made."""
     for attempts in range(1, max_attempts + 1):
@@ -103,6 +109,49 @@
 
         self.run_fleet(scenario)
 
+    def split_off(self, world, inside):
+        """Cut instances off from the store and from all others."""
+        world.records.knobs.cut |= inside
+        for name in world.fleets:
+            if name not in inside:
+                world.cuts |= {frozenset((name, one)) for one in inside}
+
+    # Pattern: split fleet. Guards against callers of an instance without
+    # leases that wait for their deadline in vain, when another instance
+    # could serve them.
+    def test_requests_without_leases_are_refused_at_once(self):
+        async def scenario(world):
+            self.split_off(world, {f"{one}-1" for one in fleet.CENTRES})
+            await asyncio.sleep(leases.LEASE_S + LAPSED_S)
+            caller = world.caller("north-1", "posts")
+            self.assertFalse(world.fleets["north-1"].isolated)
+            loop = asyncio.get_running_loop()
+            for ask in (caller.read("a"), caller.write("a", "1")):
+                asked_at = loop.time()
+                self.assertEqual(Problem.BUSY, (await ask).problem)
+                self.assertLess(loop.time() - asked_at, AT_ONCE_S)
+
+        self.run_fleet(scenario)
+
+    def test_requests_wait_while_leases_have_just_lapsed(self):
+        async def scenario(world):
+            world.records.knobs.cut |= set(world.fleets)
+            lost = world.members[-1].name
+            await world.kill(lost)
+            instance = world.fleets["north-1"]
+            while instance.leaders.lapsed_s == 0.0:
+                await asyncio.sleep(0.01)
+            caller = world.caller("north-1", "posts")
+            asking = asyncio.ensure_future(caller.write("a", "1"))
+            await asyncio.sleep(0.05)
+            world.records.knobs.cut.clear()
+            await asyncio.sleep(0.0)
+            self.assertFalse(asking.done())
+            await instance.leaders.read()
+            self.assertIsNone((await asking).problem)
+
+        self.run_fleet(scenario)
+
     def count_stale_reads(self):
         """Return the stale reads in a partitioned data centre.
 
