Take no position of a primary without a valid lease for a current one

Cause: positions that an answer of a primary tells were recorded as of the time of asking, whether or not the lease was valid then. A transaction that was begun under the lease goes on after it has lapsed, until the primary is known to be replaced; its statements made the log of the old primary pass for current, here and, by gossip, elsewhere. The same holds for statements that set a session's values on a lent connection.

The lease is now checked when the order is sent. Class of fault: knowledge dated by its arrival rather than by what proves it. Looked for elsewhere: status queries check the lease before they set the leadership; reads and writes outside transactions check it just before they are sent.

test_position_without_a_lease_is_not_current failed before: the position passed for 0.005 s old, with a lease lapsed for more than 1 s.

--- a/balsamhinge/controllers/leaders.py
+++ b/balsamhinge/controllers/leaders.py
@@ -486,7 +486,9 @@
             self._set_members(merged)
 
     def record_position(self, leadership, asked_at, position):
-        """Record a position that a primary reported while its lease held.
+        """Record a position that a primary reported.
+
+        The lease must have been valid when the primary was asked.
 
         Parameters
         ----------
--- a/balsamhinge/sessions/connections.py
+++ b/balsamhinge/sessions/connections.py
@@ -153,6 +153,7 @@
         """Send an order and return a future of its `Answer`."""
         fleet = self.fleet
         asked_at = fleet.dependencies.boot_time()
+        leased = has_lease(fleet, self.leadership)
         fut = self.pooled.conn.send(order)
         name = self.target.name
         fleet.health.record_sent(name, order, clock.now())
@@ -165,7 +166,7 @@
                 return
             answer = done.result()
             fleet.health.record_answer(name, order, answer, clock.now())
-            if self.leadership is not None and answer.position is not None:
+            if leased and answer.position is not None:
                 fleet.leaders.record_position(
                     self.leadership, asked_at, answer.position
                 )
@@ -279,6 +280,7 @@
             patience_s=patience_s,
         )
         asked_at = self.fleet.dependencies.boot_time()
+        leased = has_lease(self.fleet, self.leadership)
         health, target = self.fleet.health, self.target.name
         health.record_sent(target, order, clock.now())
         self.outstanding += 1
@@ -290,7 +292,7 @@
             if answer is None:
                 health.record_abandoned(target, order, clock.now())
         health.record_answer(target, order, answer, clock.now())
-        if self.leadership is not None and answer.position is not None:
+        if leased and answer.position is not None:
             self.fleet.leaders.record_position(
                 self.leadership, asked_at, answer.position
             )
@@ -331,6 +333,15 @@
             )
 
 
+def has_lease(fleet, leadership):
+    """Return whether a leadership is known to be current now.
+
+    A transaction may go on at an old primary while it is not. Positions of
+    that primary say nothing about the group then.
+    """
+    return leadership is not None and fleet.leaders.is_valid(leadership)
+
+
 def borrow_error(host, reply):
     """Return the exception for a host's reply without a loan."""
     exception_class = exceptions.NotRunError
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -152,6 +152,27 @@
 
         self.run_fleet(scenario)
 
+    # Guards against stale reads: a transaction at an old primary, whose
+    # lease has lapsed, told a position that passed for a current one.
+    def test_position_without_a_lease_is_not_current(self):
+
+        async def scenario(world):
+            name = next(
+                one for one in world.fleets if one != world.holder().me.name
+            )
+            caller = world.caller(name, "fixtures")
+            await caller.ask(statements.Begin(False))
+            await caller.write("a", "1")
+            self.split_off(world, {name})
+            await asyncio.sleep(leases.LEASE_S + LAPSED_S)
+            instance = world.fleets[name]
+            self.assertGreater(instance.leaders.lapsed_s, 0.0)
+            self.assertIsNone((await caller.read("a")).problem)
+            age_s = instance.leaders.sample_age_s(world.group.name)
+            self.assertGreater(age_s, LAPSED_S)
+
+        self.run_fleet(scenario)
+
     def count_stale_reads(self):
         """Return the stale reads in a partitioned data centre.
 
