Tell few instances of a large fleet of a stop

Cause, found by reading: an instance that gets SIGTERM exchanged messages with all others, so a rolling restart of 195 instances made 195 x 194 exchanges and as many new connections. The holder of the duty and eight others suffice: borrowers learn that a host stops from its next reply. Small fleets are told as before.

--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -43,6 +43,9 @@
 # all, and only a few others are contacted: 16 for each instance would be
 # thousands of calls a second.
 MAX_DEGRADED_PEERS_LARGE_FLEET = 3
+# Instances of a large fleet, besides the holder of the duty, that an instance
+# tells of its stop.
+MAX_PEERS_TOLD_OF_STOP = 8
 # The fleet counts as degraded when the lease knowledge is older than this,
 # or the holder is silent.
 MAX_KNOWLEDGE_AGE_S = 1.2
@@ -445,6 +448,23 @@
                 clock.now() - heard_s,
             )
 
+    async def announce_stop(self):
+        """Tell other instances that this one is about to stop.
+
+        In a large fleet the holder of the duty and a few others suffice:
+        borrowers learn it from the replies to their next requests, and a
+        fleet that restarts one instance after the other would exchange
+        messages between all pairs.
+        """
+        if not self.is_large:
+            await self.exchange_all()
+            return
+        members = self._fleet.other_members()
+        holder = self._fleet.duty.holder
+        told = [member for member in members if member.name == holder]
+        told += self._draw(members, MAX_PEERS_TOLD_OF_STOP)
+        await asyncio.gather(*(self.exchange(member) for member in told))
+
     async def exchange_all(self):
         """Exchange messages with all other instances concurrently."""
         members = self._fleet.other_members()
--- a/balsamhinge/platform/daemon.py
+++ b/balsamhinge/platform/daemon.py
@@ -150,7 +150,7 @@
         grace_s = self._settings.grace_s * DRAIN_SHARE
         deadline = clock.now() + grace_s
         self.fleet.stopping = True
-        self.fleet.spawn(self.fleet.gossip.exchange_all())
+        self.fleet.spawn(self.fleet.gossip.announce_stop())
         draining = self.fleet.spawn(self._callers.drain(grace_s))
         await asyncio.sleep(min(UNREADY_DELAY_S, grace_s / 2))
         self._callers.stop_listening()
--- a/tests/controllers/test_gossip.py
+++ b/tests/controllers/test_gossip.py
@@ -8,7 +8,7 @@
 from balsamhinge.policy import ownership
 from tests.support import virtual
 
-__all__ = ["IsolationTest", "PromiseTest"]
+__all__ = ["IsolationTest", "PromiseTest", "StopTest"]
 
 ROUNDS_S = 1.0
 MESSAGE_DELAY_S = 1.2
@@ -95,3 +95,42 @@
         self.run_fleet(
             scenario, instances=1 + ownership.MAX_SMALL_FLEET_INSTANCES // 3
         )
+
+
+class StopTest(virtual.FleetTestCase):
+    """Pattern: all instances of a large fleet restart in turn."""
+
+    def count_told(self, **options):
+        """Return the messages of a stopping instance, and who holds the duty.
+
+        Returns
+        -------
+        told : set of str
+            Instances that it tells of its stop.
+        holder : str
+            Holder of the promotion duty.
+        """
+        results = []
+
+        async def scenario(world):
+            holder = world.holder().me.name
+            name = next(one for one in world.fleets if one != holder)
+            stopping = world.fleets[name]
+            stopping.stopping = True
+            world.notes.clear()
+            await stopping.gossip.announce_stop()
+            told = {other for sender, other in world.notes if sender == name}
+            results.append((told, holder, len(world.fleets)))
+
+        self.run_fleet(scenario, **options)
+        return results[0]
+
+    # Guards against messages between all pairs while a large fleet restarts.
+    def test_few_instances_of_a_large_fleet_are_told(self):
+        told, holder, instances = self.count_told(instances=20)
+        self.assertIn(holder, told)
+        self.assertLess(len(told), instances // 3)
+
+    def test_all_instances_of_a_small_fleet_are_told(self):
+        told, _holder, instances = self.count_told()
+        self.assertEqual(instances - 1, len(told))
