Let running statements end on a stream that is replaced

Cause, found by looking for running work that is given up because its machine was slow: when one call on a stream timed out, the stream was closed 2 s later, with all statements that still ran on it; their outcome became unknown although their answers were under way. Timeouts of statements are the operators' to set and may be longer than 2 s. A replaced stream now closes after its last call; each call has a deadline of its own.

test_slow_answer_interrupts_no_running_statement failed before: the statement ended with the stream, 2 s after another call's timeout.

--- a/balsamhinge/peers/streamclient.py
+++ b/balsamhinge/peers/streamclient.py
@@ -26,14 +26,14 @@
 
 
 class Purpose(enum.Enum):
-    """What a stream carries, and the seconds that calls get at its end.
+    """What a stream carries.
 
     A gossip message that times out replaces its stream, which must not
-    interrupt running statements.
+    delay statements.
     """
 
-    GOSSIP = 0.0
-    LOANS = 2.0
+    GOSSIP = "gossip"
+    LOANS = "loans"
 
 
 REPLY_DECODERS = {
@@ -204,18 +204,15 @@
         return conn
 
     def _drop(self, name, purpose, cached):
-        """Remove a stream from the cache; close it after its grace time."""
+        """Remove a stream from the cache; close it after its last call."""
         if self._streams.get((name, purpose)) is not cached:
             return
         del self._streams[name, purpose]
         conn = cached.conn
         if conn is None:
             cached.opening.cancel()
-        elif conn.is_idle or not purpose.value:
-            conn.close()
         else:
-            loop = asyncio.get_running_loop()
-            loop.call_later(purpose.value, conn.close)
+            conn.retire()
 
     def _schedule_idle_check(self):
         loop = asyncio.get_running_loop()
--- a/balsamhinge/peers/streams.py
+++ b/balsamhinge/peers/streams.py
@@ -161,6 +161,7 @@
         self._calls = {}
         self.opened_at = self.used_at = clock.now()
         self.closed = False
+        self._retired = False
 
     def connection_made(self, transport):
         """See `asyncio.Protocol`."""
@@ -225,6 +226,14 @@
         finally:
             timer.cancel()
             self._calls.pop(number, None)
+            if self._retired and self.is_idle:
+                self.close()
+
+    def retire(self):
+        """Close the connection once its last call has ended."""
+        self._retired = True
+        if self.is_idle:
+            self.close()
 
     def close(self):
         """Close the connection at once."""
--- a/tests/peers/test_streams.py
+++ b/tests/peers/test_streams.py
@@ -20,6 +20,8 @@
 __all__ = ["StreamCallTest", "StreamFailureTest"]
 
 SECRET = "s"
+# Longer than the time for which a stream was kept after a late answer.
+RETIRED_S = 2.2
 Message = gossipmessages.GossipMessage
 
 
@@ -287,3 +289,29 @@
                 await server.stop()
 
         self.assertEqual("two", real.run_real(run()).holder)
+
+    # Guards against running work that is given up because its host was slow
+    # to answer another request.
+    def test_slow_answer_interrupts_no_running_statement(self):
+        async def run():
+            async with Peer().running() as peer:
+                client, member = peer.client, peer.member
+                running = asyncio.ensure_future(
+                    client.run(member, run_request(7), real.LIMIT_S)
+                )
+                await peer.lender.started.wait()
+                with self.assertRaises(exceptions.PeerUnavailable):
+                    await client.run(
+                        member,
+                        run_request(8),
+                        1.1 * streamclient.MIN_STREAM_AGE_S,
+                    )
+                reply = await client.exchange(
+                    member, Message("two"), real.LIMIT_S
+                )
+                self.assertEqual("two", reply.holder)
+                await asyncio.sleep(RETIRED_S)
+                peer.lender.release.set()
+                return await running
+
+        self.assertEqual(7, real.run_real(run()).loan)
