--- a/tests/controllers/test_duty.py
+++ b/tests/controllers/test_duty.py
@@ -6,6 +6,7 @@
 from balsamhinge.controllers import duty
 from balsamhinge.controllers import leaders
 from balsamhinge import interfaces
+from balsamhinge.policy import ownership
 from tests.support import virtual
 
 __all__ = ["EntitlementTest", "SuccessionTest"]
@@ -118,3 +119,17 @@
             self.assertIn(holders[-1], lost)
 
         self.run_fleet(scenario, instances=3)
+
+    # Pattern: overloaded holder. Guards against a duty that moves on and on
+    # in a large fleet: the holder answers nearly all others in time, one
+    # instance misses some of its answers and replaces it.
+    def test_a_holder_that_others_hear_keeps_the_duty(self):
+        async def scenario(world):
+            holder = world.holder().me
+            others = [member for member in world.members if member != holder]
+            first = ownership.rank_members(others, leaders.DUTY_KEY)[0]
+            world.cuts.add(frozenset((holder.name, first.name)))
+            await asyncio.sleep(SUCCESSION_S)
+            self.assertEqual([holder.name], self.list_holders(world))
+
+        self.run_fleet(scenario, instances=7)
