--- a/balsamhinge/controllers/leaders.py
+++ b/balsamhinge/controllers/leaders.py
@@ -24,9 +24,6 @@
 CHALLENGE_KEY = "duty-challenge"
 # Time for which work at the old primary may go on in an orderly change.
 ORDERLY_GRACE_S = 0.5
-# Requests wait for so long after leases have lapsed: one read of the store
-# or one gossip round later they are usually valid again.
-MAX_LAPSE_WAIT_S = 0.4
 # Instances that one log line names.
 MAX_LOGGED_NAMES = 5
 
@@ -109,7 +106,6 @@
         # Boot-clock seconds, by group.
         self._grace_ends_at = {}
         self._valid = False
-        self._lapsed_at = clock.now()
 
     def _set_members(self, records):
         """Replace the records of all registered instances."""
@@ -154,32 +150,6 @@
         """Return the latest `Leadership` of any age, or None."""
         return self.book.leaderships.get(group)
 
-    @property
-    def lapsed_s(self):
-        """Return the seconds for which no lease has been valid, or 0."""
-        return 0.0 if self._valid else clock.now() - self._lapsed_at
-
-    def limit_wait(self, until):
-        """Return until when a request should wait for a valid lease.
-
-        Leases that do not return soon have lapsed because this instance
-        has lost the store and other instances; another one may serve the
-        request.
-
-        Parameters
-        ----------
-        until : float
-            Loop seconds of the request's deadline.
-
-        Returns
-        -------
-        float
-            Loop seconds; the past where leases have lapsed for long.
-        """
-        if self._valid:
-            return until
-        return min(until, self._lapsed_at + MAX_LAPSE_WAIT_S)
-
     async def wait_valid_leadership(self, group, until):
         """Wait for a `Leadership` with a valid lease.
 
@@ -412,7 +382,6 @@
         if valid == self._valid:
             return
         self._valid = valid
-        self._lapsed_at = clock.now()
         age_s = self.book.read_age_s(now)
         as_of = self.book.last_read.as_of
         if valid:
--- a/balsamhinge/sessions/dispatch.py
+++ b/balsamhinge/sessions/dispatch.py
@@ -70,8 +70,6 @@
         Number of pauses before a retry so far.
     overloaded : bool
         Whether a target refused because it cannot answer in time.
-    needs_lease : bool
-        Whether the latest attempt failed for want of a valid lease.
     """
 
     request_id: str
@@ -83,7 +81,6 @@
     failures: list = attrs.Factory(list)
     retries: int = 0
     overloaded: bool = False
-    needs_lease: bool = False
 
     @property
     def waited_s(self):
@@ -132,10 +129,7 @@
         pause_s = min(MAX_RETRY_PAUSE_S, RETRY_PAUSE_S * 2**req.retries)
         req.retries += 1
         pause_s *= self._fleet.rng.uniform(0.75, 1.25)
-        deadline = req.deadline
-        if req.needs_lease:
-            deadline = self._fleet.leaders.limit_wait(deadline)
-        if clock.now() + pause_s >= deadline:
+        if clock.now() + pause_s >= req.deadline:
             return False
         if len(req.failures) > 2 * MAX_TARGETS_PER_READ:
             return False
@@ -153,17 +147,15 @@
             # An isolated instance would not learn of a new primary in time,
             # so it refuses at once and the caller can try another one.
             isolated = self._fleet.isolated
-            leaders = self._fleet.leaders
-            deadline = leaders.limit_wait(req.deadline)
-            leadership = await leaders.wait_valid_leadership(
-                req.route.group, clock.now() if isolated else deadline
+            deadline = clock.now() if isolated else req.deadline
+            leadership = await self._fleet.leaders.wait_valid_leadership(
+                req.route.group, deadline
             )
             if isolated and leadership is not None:
                 unresponsive_s = self._fleet.health.of(
                     leadership.target
                 ).unresponsive_s(clock.now())
                 leadership = leadership if not unresponsive_s else None
-            req.needs_lease = leadership is None
             if leadership is None:
                 latest = self._fleet.leaders.latest(req.route.group)
                 req.record_failure(
--- a/balsamhinge/sessions/session.py
+++ b/balsamhinge/sessions/session.py
@@ -475,9 +475,11 @@
         sent = False
         try:
             await conn.apply_session_state(self._values, None, req.deadline)
-            leaders = self._fleet.leaders
-            if transaction.wrote and not await leaders.wait_may_commit(
-                conn.leadership, leaders.limit_wait(req.deadline)
+            if (
+                transaction.wrote
+                and not await self._fleet.leaders.wait_may_commit(
+                    conn.leadership, req.deadline
+                )
             ):
                 return self._aborted(req, "the primary's lease has lapsed")
             sent = True
