--- a/balsamhinge/controllers/directory.py
+++ b/balsamhinge/controllers/directory.py
@@ -305,6 +305,12 @@
             All entries of that revision.
         """
         if as_of < self.targets_as_of:
+            event(
+                log.info,
+                "target_entries_ignored",
+                as_of=as_of,
+                latest_as_of=self.targets_as_of,
+            )
             return
         self.targets_as_of = as_of
         self.target_entries = entries
--- a/balsamhinge/controllers/duty.py
+++ b/balsamhinge/controllers/duty.py
@@ -201,6 +201,15 @@
             "store", or the instance that sent the record.
         """
         if revision <= self.revision:
+            if source == "store" and holder != self.holder:
+                event(
+                    log.warning,
+                    "duty_record_ignored",
+                    holder=holder,
+                    fence=revision,
+                    latest=self.holder,
+                    latest_fence=self.revision,
+                )
             return
         if holder != self.holder:
             event(
--- a/balsamhinge/controllers/leaders.py
+++ b/balsamhinge/controllers/leaders.py
@@ -106,6 +106,8 @@
         # Boot-clock seconds, by group.
         self._grace_ends_at = {}
         self._valid = False
+        # Whether the last own read of the store was of an earlier revision.
+        self._ignoring_reads = False
 
     def _set_members(self, records):
         """Replace the records of all registered instances."""
@@ -343,7 +345,17 @@
             "store", or the instance that told of the read.
         """
         latest_as_of = self.book.last_read.as_of
-        if knowledge.as_of < latest_as_of:
+        ignored = knowledge.as_of < latest_as_of
+        if ignored and source == "store" and not self._ignoring_reads:
+            event(
+                log.warning,
+                "store_reads_ignored",
+                as_of=knowledge.as_of,
+                latest_as_of=latest_as_of,
+            )
+        if source == "store":
+            self._ignoring_reads = ignored
+        if ignored:
             return
         if self.book.merge_store_read(knowledge):
             self._log_lease_validity(source)
--- a/balsamhinge/platform/http.py
+++ b/balsamhinge/platform/http.py
@@ -31,10 +31,21 @@
 
 @attrs.frozen
 class HttpResponse:
-    """Status code and decoded JSON body, None for an empty body."""
+    """Status code, decoded JSON body and headers.
+
+    Parameters
+    ----------
+    status : int
+        Status code.
+    body : object
+        None for an empty body.
+    headers : dict of str to str
+        Values by lower-case name.
+    """
 
     status: int
     body: object
+    headers: dict = attrs.Factory(dict)
 
 
 @attrs.define
@@ -170,7 +181,8 @@
         Timeout of the call; it is extended while the response arrives.
     """
     loop = asyncio.get_running_loop()
-    status, received, deadline = 0, bytearray(), None
+    status, headers = 0, {}
+    received, deadline = bytearray(), None
     while True:
         event = conn.machine.next_event()
         if event is h11.NEED_DATA:
@@ -181,9 +193,14 @@
             )
         elif isinstance(event, h11.Response):
             status = event.status_code
+            headers = {
+                name.decode("latin-1"): value.decode("latin-1")
+                for name, value in event.headers
+            }
         elif isinstance(event, h11.Data):
             received += event.data
         elif isinstance(event, h11.EndOfMessage):
-            return HttpResponse(status, json.loads(received or b"null"))
+            body = json.loads(received or b"null")
+            return HttpResponse(status, body, headers)
         elif isinstance(event, h11.ConnectionClosed):
             raise ValueError("connection closed before the response")
--- a/balsamhinge/platform/objects.py
+++ b/balsamhinge/platform/objects.py
@@ -3,8 +3,11 @@
 import collections
 import urllib.parse
 
+import logbook
+
 from balsamhinge import exceptions
 from balsamhinge import interfaces
+from balsamhinge.logs import event
 from balsamhinge import metrics
 from balsamhinge.platform import decoding
 from balsamhinge.platform import http
@@ -25,6 +28,11 @@
 WATCH_TIMEOUT_MARGIN_S = 1.0
 # Limits the pages of one list; a page holds some hundred records.
 MAX_LIST_PAGES = 100
+# The header of each response that counts the incarnations of the store: it
+# begins a new one when it is restored from an older copy.
+INCARNATION_HEADER = "store-era"
+
+log = logbook.Logger(__name__)
 
 
 class PlatformObjects(interfaces.RecordStore):
@@ -39,6 +47,7 @@
     def __init__(self, address):
         self._client = http.HttpClient(address)
         self._call_counts = collections.Counter()
+        self._incarnation = None
 
     async def list(self, kind):
         """See `RecordStore.list`."""
@@ -66,10 +75,10 @@
             timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S,
         )
         changes = []
-        for event in body["events"]:
-            record = _decode_record(kind, event["object"])
+        for item in body["events"]:
+            record = _decode_record(kind, item["object"])
             changes.append(
-                interfaces.RecordChange(record, bool(event["deleted"]))
+                interfaces.RecordChange(record, bool(item["deleted"]))
             )
         return interfaces.RecordChanges(changes, int(body["as_of"]))
 
@@ -106,6 +115,7 @@
             metrics.observe_store_call(kind, call, "silent")
             raise exceptions.StoreUnavailable(str(exc)) from exc
         metrics.observe_store_call(kind, call, str(response.status))
+        self._observe_incarnation(response)
         match response.status:
             case 200 | 201:
                 return response.body
@@ -119,6 +129,19 @@
             f"{method} {path}: status {response.status}"
         )
 
+    def _observe_incarnation(self, response):
+        """Log when the store has been restored from an older copy."""
+        incarnation = response.headers.get(INCARNATION_HEADER)
+        if incarnation is None or incarnation == self._incarnation:
+            return
+        event(
+            log.notice,
+            "store_incarnation",
+            incarnation=incarnation,
+            earlier=self._incarnation,
+        )
+        self._incarnation = incarnation
+
     def pop_call_counts(self):
         """Return the number of calls by name, and reset the counts."""
         counts, self._call_counts = self._call_counts, collections.Counter()
