Reproduce the end of service after a restored store

The stand-in's records can be restored from an earlier copy: revisions go back and are given out again, and a watch from a revision that it does not have fails.

--- a/balsamhinge/standins/records.py
+++ b/balsamhinge/standins/records.py
@@ -7,7 +7,7 @@
 from balsamhinge import exceptions
 from balsamhinge import interfaces
 
-__all__ = ["RecordLink", "Records", "RecordsKnobs"]
+__all__ = ["RecordLink", "Records", "RecordsCopy", "RecordsKnobs"]
 
 # Changes that a watch may still ask for.
 HISTORY = 1000
@@ -45,6 +45,14 @@
     answer_change_s: float = 0.0
 
 
+@attrs.frozen
+class RecordsCopy:
+    """All records by kind and name, as of a revision."""
+
+    revision: int
+    kinds: dict
+
+
 class Records:
     """Records with revisions and watches, in memory."""
 
@@ -83,6 +91,17 @@
         self._history = [(self.revision, None, None)]
         self._wake()
 
+    def copy(self):
+        """Return a copy to which the store may be restored later."""
+        kinds = {kind: dict(named) for kind, named in self.kinds.items()}
+        return RecordsCopy(self.revision, kinds)
+
+    def restore(self, copy):
+        """Come back from a copy; later revisions are given out again."""
+        self.revision = copy.revision
+        self.kinds = {kind: dict(named) for kind, named in copy.kinds.items()}
+        self.forget_history()
+
     def silence_watches(self):
         """Let each watch that waits now go unanswered, as later ones do not.
 
@@ -108,6 +127,8 @@
         first = self._history[0] if self._history else None
         if first and first[2] is None and after < first[0]:
             raise exceptions.HistoryExpired(kind)
+        if after > self.revision:
+            raise exceptions.HistoryExpired(kind)
         if self.knobs.silent_watches:
             return []
         return [
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -28,6 +28,8 @@
 STEP_S = 0.01
 # Seconds for the whole answer to a reading of the store.
 READ_S = 1.0
+# Time for which the store is away before it is restored.
+OUTAGE_S = 2.0
 DATABASES = {
     "posts": routes.Freshness.LATEST,
     "fixtures": routes.Freshness.SESSION,
@@ -275,6 +277,22 @@
                     interfaces.TARGETS, target.name, target.entry()
                 )
 
+    async def restore_store(self, copy, away_s=OUTAGE_S):
+        """Have the store fail and come back from an earlier copy.
+
+        The operator and the targets write again what the copy lacks.
+        """
+        self.records.knobs.down = True
+        await asyncio.sleep(away_s)
+        latest = self.records.copy()
+        self.records.restore(copy)
+        self.records.knobs.down = False
+        for kind in (interfaces.ROUTES, interfaces.TARGETS):
+            held = copy.kinds.get(kind, {})
+            for name, record in latest.kinds.get(kind, {}).items():
+                if record != held.get(name):
+                    self.records.put(kind, name, record.value)
+
     def leave(self, target):
         """Have a target say that it is about to stop."""
         entry = attrs.evolve(target.entry(), leaving=True)
