Acquire the promotion duty anew after a restore of the store

What callers saw: after a restore the duty went back to whoever the copy names, dead or alive, or to nobody; a holder without a record went on, and a holder that did not reach the store kept its records from being completed, so no primary could be used.

Cause: entitlement was any recent read, whatever record of the duty it showed, and the copy's record passed for a later one.

Change: a read entitles only if it shows the record that this instance has written in the present incarnation. After a restore the latest holder by what instances remember acquires the duty anew at once, others after one second by rank. It may promote 3 s after it has learned of the restore, when nobody is entitled any more by a lost record. A holder whose last confirmed read is less than that ago need not wait to complete the records.

Ruled out: two holders that both act, on this code: the one named by the copy waits 3 s, the other is entitled for 1.5 s. The danger was a record that is missing altogether.

--- a/balsamhinge/controllers/duty.py
+++ b/balsamhinge/controllers/duty.py
@@ -33,6 +33,10 @@
 # Time for which a read that shows this instance as the holder permits it to
 # call the platform.
 ENTITLEMENT_S = 1.5
+# Time for which the instance that held the duty before a restore of the
+# store may acquire it anew undisturbed, and the delay that each rank adds.
+REACQUIRE_DELAY_S = 1.0
+REACQUIRE_DELAY_PER_RANK_S = 0.3
 # Delay after which a new holder may call the platform: the previous holder
 # is no longer entitled, and its last call has timed out.
 HANDOVER_DELAY_S = 3.0
@@ -78,6 +82,10 @@
         Fencing token of this instance; 0 if it has not held the duty.
     may_promote_from : float
         Boot-clock seconds from which this instance may request promotions.
+    kept_through_restore : bool
+        Whether this instance held the duty until shortly before the store
+        was restored: one that had acquired it since would still have to wait
+        before it may promote.
     """
 
     def __init__(self, fleet):
@@ -87,18 +95,40 @@
         self.revision = 0
         self.fence = 0
         self.may_promote_from = 0.0
+        self.kept_through_restore = False
         self._next_read = 0.0
+        # Loop seconds since when the known holder is outdated, or None.
+        self._outdated_since = None
+        # Boot-clock seconds of the last read that confirmed this holder.
+        self._confirmed_read_at = float("-inf")
 
     @property
     def held(self):
         """Return whether the latest record names this instance."""
         return self.holder == self._fleet.me.name
 
+    @property
+    def is_outdated(self):
+        """Return whether the store was restored since the duty was acquired.
+
+        The record of the latest holder may be lost then, and the entitlement
+        that rests on it has ended. Some instance has to acquire the duty
+        anew; the latest holder does so first.
+        """
+        acquired_in = revisions.incarnation_of(self.revision)
+        incarnation = self._fleet.leaders.incarnation
+        return bool(self.holder) and acquired_in < incarnation
+
     def is_confirmed(self):
-        """Return whether a recent store read names this instance."""
-        read_at = self._fleet.leaders.duty_read_at
-        age_s = self._fleet.dependencies.boot_time() - read_at
-        return self.held and age_s < ENTITLEMENT_S
+        """Return whether a recent store read shows this instance's record."""
+        leaders = self._fleet.leaders
+        record = leaders.duty_record
+        if not self.held or self.is_outdated or record is None:
+            return False
+        if leaders_module.written_revision(record) != self.fence:
+            return False
+        now = self._fleet.dependencies.boot_time()
+        return now - leaders.duty_read_at < ENTITLEMENT_S
 
     def may_promote(self):
         """Return whether this instance may request promotions now."""
@@ -135,11 +165,17 @@
         fleet = self._fleet
         if self.held or not self.holder or not fleet.registered:
             return False
+        if self.is_outdated:
+            return False
         age_s = fleet.leaders.book.read_age_s(fleet.dependencies.boot_time())
         return age_s < FRESH_KNOWLEDGE_AGE_S and self._is_holder_active()
 
     async def _step(self):
         now = clock.now()
+        if not self.is_outdated:
+            self._outdated_since = None
+        elif self._outdated_since is None:
+            self._outdated_since = now
         if now >= self._next_read and self._should_read():
             await self._read()
         if self._should_acquire():
@@ -177,17 +213,18 @@
         record = self._fleet.leaders.duty_record
         if record is None:
             return
-        holder = record.value["holder"]
-        self.merge_holder(holder, record.revision, "store")
-        if holder == self._fleet.me.name and record.revision != self.fence:
+        revision = leaders_module.written_revision(record)
+        self.merge_holder(record.value["holder"], revision, "store")
+        if self.held and self.revision == revision != self.fence:
             # Acquired by an earlier process of this instance, or by a call
             # whose answer was lost.
-            self.fence = record.revision
+            self.fence = revision
             self.may_promote_from = (
                 self._fleet.dependencies.boot_time() + HANDOVER_DELAY_S
             )
-        if self.held:
-            await self._answer_challenge(record)
+        if self.is_confirmed():
+            self._confirmed_read_at = self._fleet.leaders.duty_read_at
+            await self._answer_challenge()
 
     def merge_holder(self, holder, revision, source):
         """Merge a record of the holder, unless a later one is known.
@@ -225,7 +262,11 @@
         self.revision = revision
 
     def _should_acquire(self):
-        if self.held or self._fleet.stopping or not self._fleet.registered:
+        if self._fleet.stopping or not self._fleet.registered:
+            return False
+        if self.is_outdated:
+            return self._should_reacquire()
+        if self.held:
             return False
         if self.holder and not self._fleet.may_change_primaries:
             return False
@@ -239,6 +280,17 @@
                 return False
         return self._rank() == 0
 
+    def _should_reacquire(self):
+        """Return whether to acquire the duty after a restore of the store."""
+        if self.held:
+            return True
+        if self._fleet.gossip.has_handed_over(self.holder):
+            return self._rank() == 0
+        if self._outdated_since is None:
+            return False
+        delay_s = REACQUIRE_DELAY_S + REACQUIRE_DELAY_PER_RANK_S * self._rank()
+        return clock.now() - self._outdated_since > delay_s
+
     def _is_holder_active(self):
         """Return whether the holder answers and has not handed over."""
         gossip = self._fleet.gossip
@@ -302,16 +354,10 @@
                 return False
         return self.holder == holder
 
-    async def _answer_challenge(self, record):
-        """Withdraw a challenge of this instance, the holder of the duty.
-
-        Parameters
-        ----------
-        record : Record
-            The store's record of the holder.
-        """
+    async def _answer_challenge(self):
+        """Withdraw a challenge of this instance, the holder of the duty."""
         challenge = self._fleet.leaders.challenge_record
-        if challenge is None or challenge.value["fence"] != record.revision:
+        if challenge is None or challenge.value["fence"] != self.fence:
             return
         await self._fleet.leaders.store.delete(
             interfaces.LEADERS,
@@ -328,7 +374,7 @@
         """Acquire the duty by a conditional write to the store."""
         holder = self.holder
         gossip = self._fleet.gossip
-        if not gossip.has_handed_over(holder):
+        if not self.held and not gossip.has_handed_over(holder):
             if not await self._may_succeed(holder):
                 return
         await self._read()
@@ -337,28 +383,56 @@
             return
         leaders = self._fleet.leaders
         earlier = leaders.duty_record
-        revision = earlier.revision if earlier else 0
         asked_at = self._fleet.dependencies.boot_time()
         record = await leaders.put_record(
             leaders_module.DUTY_KEY,
             {"holder": self._fleet.me.name},
-            revision,
+            earlier.revision if earlier else 0,
         )
-        previous = earlier.value["holder"] if earlier else ""
-        free = not previous or gossip.has_handed_over(previous)
-        wait_s = 0.0 if free else HANDOVER_DELAY_S
-        self.fence = record.revision
-        self.revision = record.revision
-        self.holder = self._fleet.me.name
         # The answer may be late. The entitlement is dated from the request,
         # as for a read. The wait, during which the entitlement of the
-        # previous holder ends, starts now, when the write is certainly done.
+        # previous holder ends, starts when the write is certainly done.
+        leaders.duty_record = record
         leaders.duty_read_at = asked_at
-        self.may_promote_from = self._fleet.dependencies.boot_time() + wait_s
+        self.may_promote_from = self._handover_ends_at(earlier)
+        self.kept_through_restore = self._has_kept_duty()
+        self.fence = record.revision
+        self.revision = record.revision
+        self.holder = self._fleet.me.name
+        now = self._fleet.dependencies.boot_time()
         event(
             log.notice,
             "duty_taken",
-            earlier=previous,
+            earlier=holder,
             fence=revisions.describe(self.fence),
-            usable_in_s=wait_s,
+            usable_in_s=max(0.0, self.may_promote_from - now),
         )
+
+    def _handover_ends_at(self, earlier):
+        """Return from when this instance may promote, just acquired the duty.
+
+        Parameters
+        ----------
+        earlier : Record or None
+            The record that it has replaced.
+
+        Returns
+        -------
+        float
+            Boot-clock seconds.
+        """
+        now = self._fleet.dependencies.boot_time()
+        if self.is_outdated:
+            # The copy may name another than the latest holder, whose
+            # entitlement ends this long after the restore.
+            restored_at = self._fleet.leaders.restore_seen_at
+            return restored_at + HANDOVER_DELAY_S
+        previous = earlier.value["holder"] if earlier else ""
+        if not previous or self._fleet.gossip.has_handed_over(previous):
+            return now
+        return now + HANDOVER_DELAY_S
+
+    def _has_kept_duty(self):
+        now = self._fleet.dependencies.boot_time()
+        recently = now - self._confirmed_read_at < HANDOVER_DELAY_S
+        return self.is_outdated and self.held and recently
--- a/balsamhinge/controllers/leaders.py
+++ b/balsamhinge/controllers/leaders.py
@@ -89,6 +89,8 @@
         Latest read of the records, by any task of this instance.
     incarnation : int
         Latest incarnation of the store that this instance knows of.
+    restore_seen_at : float
+        Boot-clock seconds at which it has learned of that incarnation.
     outdated_groups : list of str
         Groups whose record the store has lost in a restore, or holds as of
         before it. Until the holder of the duty has written them again, a
@@ -114,6 +116,7 @@
         self.duty_read_at = float("-inf")
         self.listing = interfaces.Listing({}, 0)
         self.incarnation = 0
+        self.restore_seen_at = float("-inf")
         self.outdated_groups = []
         self._changed = asyncio.Event()
         # Work in progress, by group and epoch.
@@ -472,9 +475,10 @@
             # Another task has received a later read meanwhile.
             return
         self.listing = listing
-        self.incarnation = max(
-            self.incarnation, revisions.incarnation_of(listing.as_of)
-        )
+        incarnation = revisions.incarnation_of(listing.as_of)
+        if incarnation > self.incarnation:
+            self.incarnation = incarnation
+            self.restore_seen_at = self.boot_time()
         # Rankings of instances are kept as long as the members do not change.
         if listing.as_of >= self.book.last_read.as_of and (
             member_records != self.member_records
--- a/balsamhinge/controllers/restoration.py
+++ b/balsamhinge/controllers/restoration.py
@@ -111,7 +111,10 @@
         """Return whether no other instance can still request a promotion."""
         fleet = self._fleet
         now = fleet.dependencies.boot_time()
-        return now >= fleet.duty.may_promote_from
+        return (
+            fleet.duty.kept_through_restore
+            or now >= fleet.duty.may_promote_from
+        )
 
     async def _find_contradicted(self):
         """Return the groups in which another target leads a later term."""
--- a/tests/controllers/test_restoration.py
+++ b/tests/controllers/test_restoration.py
@@ -3,10 +3,12 @@
 import asyncio
 
 from balsamhinge.controllers import clock
+from balsamhinge.controllers import leaders
+from balsamhinge import interfaces
 from balsamhinge.policy import leases
 from tests.support import virtual
 
-__all__ = ["ChangesTest", "LeasesTest"]
+__all__ = ["ChangesTest", "DutyTest", "LeasesTest"]
 
 # Changes of the configuration that the copy lacks.
 LOST_CHANGES = 12
@@ -16,6 +18,8 @@
 
 # Interval of the check which primary an instance may use.
 POLL_INTERVAL_S = 0.002
+# Time in which the holder finds out that the store has been restored.
+FOUND_OUT_S = 1.0
 
 
 class LeasesTest(virtual.FleetTestCase):
@@ -122,3 +126,97 @@
             self.assertTrue(self.is_changed(world, old))
 
         self.run_fleet(scenario)
+
+
+class DutyTest(virtual.FleetTestCase):
+    """The promotion duty, whose latest record the copy lacks."""
+
+    def stored_duty(self, world):
+        """Return the store's record of the holder, or None."""
+        stored = world.records.kinds[interfaces.LEADERS]
+        return stored.get(leaders.DUTY_KEY)
+
+    async def succeed_holder(self, world):
+        """Restart the holder after another instance has succeeded it.
+
+        Returns
+        -------
+        str
+            Name of the earlier holder.
+        """
+        earlier = world.holder().me
+        await world.kill(earlier.name)
+        while self.stored_duty(world).value["holder"] == earlier.name:
+            await asyncio.sleep(POLL_INTERVAL_S)
+        world.start_instance(earlier)
+        await asyncio.sleep(leases.EXTENDED_LEASE_S)
+        return earlier.name
+
+    # Guards against a duty that goes back to an earlier holder, which the
+    # copy names and which may be dead or cut off.
+    def test_the_holder_of_a_lost_record_keeps_the_duty(self):
+        async def scenario(world):
+            copy = world.records.copy()
+            earlier = await self.succeed_holder(world)
+            holder = world.holder().me.name
+            self.assertNotEqual(earlier, holder)
+            await world.restore_store(copy)
+            await asyncio.sleep(FOUND_OUT_S)
+            self.assertEqual(holder, self.stored_duty(world).value["holder"])
+            self.assertTrue(world.holder().duty.is_confirmed())
+            self.assertEqual(holder, world.holder().me.name)
+
+        self.run_fleet(scenario)
+
+    # Guards against a holder that goes on without a record, beside one that
+    # acquires the duty as if it was free.
+    def test_the_holder_writes_a_record_that_the_copy_lacks(self):
+        async def scenario(world):
+            holder = world.holder().me.name
+            copy = world.records.copy()
+            del copy.kinds[interfaces.LEADERS][leaders.DUTY_KEY]
+            await world.restore_store(copy)
+            self.assertFalse(world.fleets[holder].duty.is_confirmed())
+            await asyncio.sleep(FOUND_OUT_S)
+            self.assertEqual(holder, self.stored_duty(world).value["holder"])
+            self.assertTrue(world.fleets[holder].duty.is_confirmed())
+
+        self.run_fleet(scenario)
+
+    # Guards against fencing tokens that go back with the store.
+    def test_fences_grow_across_a_restore(self):
+        async def scenario(world):
+            copy = world.records.copy()
+            await self.succeed_holder(world)
+            await self.replace_primary(world)
+            await world.restore_store(copy)
+            await asyncio.sleep(leases.EXTENDED_LEASE_S)
+            await self.replace_primary(world)
+            fences = [fence for _holder, fence, _target in world.promotions]
+            self.assertEqual(sorted(fences), fences)
+            self.assertLess(fences[0], fences[-1])
+
+        self.run_fleet(scenario)
+
+    async def replace_primary(self, world):
+        """Silence the primary until another one leads."""
+        old = world.group.primary
+        old.knobs.dark = True
+        while world.group.primary is old:
+            await asyncio.sleep(POLL_INTERVAL_S)
+        old.knobs.dark = False
+
+    # Guards against a store that nobody completes, because the holder does
+    # not reach it any more.
+    def test_another_instance_completes_the_records(self):
+        async def scenario(world):
+            holder = world.holder().me.name
+            copy = world.records.copy()
+            world.records.knobs.cut.add(holder)
+            await world.restore_store(copy)
+            await asyncio.sleep(LEASE_END_S)
+            for one in world.fleets.values():
+                found = one.leaders.valid_leadership(world.group.name)
+                self.assertIsNotNone(found, one.me.name)
+
+        self.run_fleet(scenario)
