Complete the records without a wait where nobody can have promoted

Cause: any instance that could not be asked made the new holder wait until the last possible entitlement had ended, and a dead holder was given the same time as a live one to acquire the duty anew.

Change: what an unheard instance can have done follows from what is known. Before a promotion the holder waits for all instances or 2 s and then writes to the store; so one whose promise was in force when the store came back has promoted nothing, and neither has one that acquired the duty after the last read from before the restore, if that is less than 3 s old. The restore is noticed by the first answer of any kind, or from a peer. A holder that does not answer is succeeded at once.

Ruled out: shorter waits by guess; the entitlement of a holder that nobody hears may last that long.

--- a/balsamhinge/controllers/directory.py
+++ b/balsamhinge/controllers/directory.py
@@ -106,7 +106,7 @@
 
     async def _read(self):
         listing = await self._store.list(self._kind)
-        self._health.record_answer()
+        self._health.record_answer(listing.as_of)
         self._replace(listing.records, listing.as_of)
 
     def _replace(self, records, as_of):
@@ -118,7 +118,7 @@
         changes = await self._store.watch(
             self._kind, self.as_of, WATCH_TIMEOUT_S
         )
-        self._health.record_answer()
+        self._health.record_answer(changes.as_of)
         records = dict(self.records)
         for change in changes.changes:
             name = change.record.name
--- a/balsamhinge/controllers/duty.py
+++ b/balsamhinge/controllers/duty.py
@@ -82,10 +82,8 @@
         Fencing token of this instance; 0 if it has not held the duty.
     may_promote_from : float
         Boot-clock seconds from which this instance may request promotions.
-    kept_through_restore : bool
-        Whether this instance held the duty until shortly before the store
-        was restored: one that had acquired it since would still have to wait
-        before it may promote.
+    holder_before_restore : str
+        Latest known holder before the store was last restored.
     """
 
     def __init__(self, fleet):
@@ -95,12 +93,10 @@
         self.revision = 0
         self.fence = 0
         self.may_promote_from = 0.0
-        self.kept_through_restore = False
+        self.holder_before_restore = ""
         self._next_read = 0.0
         # Loop seconds since when the known holder is outdated, or None.
         self._outdated_since = None
-        # Boot-clock seconds of the last read that confirmed this holder.
-        self._confirmed_read_at = float("-inf")
 
     @property
     def held(self):
@@ -116,7 +112,7 @@
         anew; the latest holder does so first.
         """
         acquired_in = revisions.incarnation_of(self.revision)
-        incarnation = self._fleet.leaders.incarnation
+        incarnation = self._fleet.store_health.incarnation
         return bool(self.holder) and acquired_in < incarnation
 
     def is_confirmed(self):
@@ -176,7 +172,8 @@
             self._outdated_since = None
         elif self._outdated_since is None:
             self._outdated_since = now
-        if now >= self._next_read and self._should_read():
+        due = now >= self._next_read or self._is_restore_unread()
+        if due and self._should_read():
             await self._read()
         if self._should_acquire():
             await self._acquire()
@@ -193,6 +190,12 @@
             return len(ranked_names)
         return ranked_names.index(self._fleet.me.name)
 
+    def _is_restore_unread(self):
+        """Return whether the records were last read before a restore."""
+        listing = self._fleet.leaders.listing
+        incarnation = self._fleet.store_health.incarnation
+        return revisions.incarnation_of(listing.as_of) < incarnation
+
     def _should_read(self):
         if self.held:
             return True
@@ -210,6 +213,11 @@
             LARGE_FLEET_READ_INTERVAL_S if large else READ_INTERVAL_S
         )
         await self._fleet.leaders.read()
+        if self.is_confirmed():
+            await self._answer_challenge()
+
+    def merge_listing(self):
+        """Merge the record of the holder in the latest read of the store."""
         record = self._fleet.leaders.duty_record
         if record is None:
             return
@@ -222,9 +230,6 @@
             self.may_promote_from = (
                 self._fleet.dependencies.boot_time() + HANDOVER_DELAY_S
             )
-        if self.is_confirmed():
-            self._confirmed_read_at = self._fleet.leaders.duty_read_at
-            await self._answer_challenge()
 
     def merge_holder(self, holder, revision, source):
         """Merge a record of the holder, unless a later one is known.
@@ -284,7 +289,7 @@
         """Return whether to acquire the duty after a restore of the store."""
         if self.held:
             return True
-        if self._fleet.gossip.has_handed_over(self.holder):
+        if not self._is_holder_active():
             return self._rank() == 0
         if self._outdated_since is None:
             return False
@@ -395,7 +400,8 @@
         leaders.duty_record = record
         leaders.duty_read_at = asked_at
         self.may_promote_from = self._handover_ends_at(earlier)
-        self.kept_through_restore = self._has_kept_duty()
+        if self.is_outdated:
+            self.holder_before_restore = holder
         self.fence = record.revision
         self.revision = record.revision
         self.holder = self._fleet.me.name
@@ -422,17 +428,24 @@
             Boot-clock seconds.
         """
         now = self._fleet.dependencies.boot_time()
+        if self.is_outdated and self.held and self.knows_last_holder():
+            return now
         if self.is_outdated:
             # The copy may name another than the latest holder, whose
             # entitlement ends this long after the restore.
-            restored_at = self._fleet.leaders.restore_seen_at
-            return restored_at + HANDOVER_DELAY_S
+            return self._fleet.store_health.restored_at + HANDOVER_DELAY_S
         previous = earlier.value["holder"] if earlier else ""
         if not previous or self._fleet.gossip.has_handed_over(previous):
             return now
         return now + HANDOVER_DELAY_S
 
-    def _has_kept_duty(self):
-        now = self._fleet.dependencies.boot_time()
-        recently = now - self._confirmed_read_at < HANDOVER_DELAY_S
-        return self.is_outdated and self.held and recently
+    def knows_last_holder(self):
+        """Return whether nobody else can have promoted before a restore.
+
+        An instance that acquired the duty after the last read of the store
+        from before the restore, of any instance, would still have had to
+        wait before it could write the record that precedes a promotion.
+        """
+        restored_at = self._fleet.store_health.restored_at
+        read_at = self._fleet.leaders.book.last_read.read_at
+        return restored_at - read_at < HANDOVER_DELAY_S
--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -4,6 +4,7 @@
 import random
 import secrets
 
+import attrs
 import logbook
 
 from balsamhinge.controllers import clock
@@ -60,6 +61,34 @@
 log = logbook.Logger(__name__)
 
 
+@attrs.define
+class _PeerPromise:
+    """Until when a process of another instance begins no primary change.
+
+    Parameters
+    ----------
+    process : int
+        Identifier of the process, see `MessageTimestamp`.
+    earlier_until : float
+        Boot-clock seconds until which the process before it had promised.
+    until : float
+        Boot-clock seconds until which it has promised itself.
+    knows_changes : bool
+        Whether it has told of a read of the store, and so of all changes of
+        the process before it.
+    """
+
+    process: int
+    earlier_until: float
+    until: float = float("-inf")
+    knows_changes: bool = False
+
+    @property
+    def instance_until(self):
+        """Boot-clock seconds until which neither process begins a change."""
+        return self.until if self.knows_changes else self.earlier_until
+
+
 class GossipController:
     """Exchanges gossip messages with other instances.
 
@@ -97,6 +126,7 @@
         self._peer_as_of = {}
         self._process = secrets.randbits(53)
         self._stamps = {}
+        self._promises = {}
 
     async def run(self):
         """Start a gossip round at each interval."""
@@ -340,6 +370,48 @@
         until = fleet.leaders.book.promises_valid_until(others)
         return max(0.0, min(fleet.duty.promise_s(), until - now))
 
+    def _record_process(self, message):
+        """Record which process of an instance has sent a message."""
+        process = message.stamp.process
+        promise = self._promises.get(message.sender)
+        if promise is None or promise.process != process:
+            earlier = promise.instance_until if promise else float("-inf")
+            promise = _PeerPromise(process, earlier)
+            self._promises[message.sender] = promise
+        promise.knows_changes |= bool(message.as_of)
+
+    def _merge_promise(self, message, written_after):
+        """Record the promise in a message.
+
+        Parameters
+        ----------
+        message : GossipMessage
+            The message.
+        written_after : float
+            Boot-clock seconds; the message was written later.
+        """
+        if not message.promise_s:
+            return
+        until = written_after + message.promise_s
+        self._fleet.leaders.merge_promise(message.sender, until)
+        promise = self._promises.get(message.sender)
+        if promise is not None:
+            promise.until = max(promise.until, until)
+
+    def promised_until(self, name):
+        """Return until when an instance begins no primary change.
+
+        Rests only on messages of the instance itself, and counts its earlier
+        processes.
+
+        Returns
+        -------
+        float
+            Boot-clock seconds; minus infinite if it has never promised.
+        """
+        promise = self._promises.get(name)
+        return promise.instance_until if promise else float("-inf")
+
     def _merge_echoed_promise(self, message):
         """Record the promise of a message that is not a reply.
 
@@ -350,10 +422,7 @@
         echo = message.echo
         if echo is None or echo.process != self._process:
             return
-        if message.promise_s:
-            self._fleet.leaders.merge_promise(
-                message.sender, echo.at + message.promise_s
-            )
+        self._merge_promise(message, echo.at)
 
     def handle_message(self, message):
         """Merge a message that another instance sent, and reply to it.
@@ -381,8 +450,10 @@
         self.last_contact_at[message.sender] = clock.now()
         self.last_messages[message.sender] = message
         self._peer_as_of[message.sender] = message.as_of
+        self._fleet.store_health.record_revision(message.as_of)
         if message.stamp is not None:
             self._stamps[message.sender] = message.stamp
+            self._record_process(message)
         self._merge_echoed_promise(message)
         for leadership in message.leaderships:
             self._fleet.leaders.merge_leadership(leadership, message.sender)
@@ -432,10 +503,7 @@
         fleet.leaders.merge_store_read(
             leases.StoreRead(reply.as_of, read_at), reply.sender
         )
-        if reply.promise_s:
-            fleet.leaders.merge_promise(
-                reply.sender, asked_at + reply.promise_s
-            )
+        self._merge_promise(reply, asked_at)
         if reply.all_promise_s and (
             reply.members_key == fleet.leaders.members_key
         ):
--- a/balsamhinge/controllers/leaders.py
+++ b/balsamhinge/controllers/leaders.py
@@ -87,10 +87,6 @@
         requested.
     listing : Listing
         Latest read of the records, by any task of this instance.
-    incarnation : int
-        Latest incarnation of the store that this instance knows of.
-    restore_seen_at : float
-        Boot-clock seconds at which it has learned of that incarnation.
     outdated_groups : list of str
         Groups whose record the store has lost in a restore, or holds as of
         before it. Until the holder of the duty has written them again, a
@@ -101,6 +97,8 @@
         self.store = store
         self._health = health
         self._me = me
+        # Called after each read of the records.
+        self.listing_merged = lambda: None
         self.member_records = {}
         # Derived from the records, as each statement needs `other_names`.
         self.members = {}
@@ -115,8 +113,6 @@
         self.challenge_record = None
         self.duty_read_at = float("-inf")
         self.listing = interfaces.Listing({}, 0)
-        self.incarnation = 0
-        self.restore_seen_at = float("-inf")
         self.outdated_groups = []
         self._changed = asyncio.Event()
         # Work in progress, by group and epoch.
@@ -448,7 +444,7 @@
         except exceptions.StoreUnavailable as exc:
             self._health.record_failure(exc)
             raise
-        self._health.record_answer()
+        self._health.record_answer(listing.as_of)
         self._merge_listing(listing, asked_at)
 
     def _merge_listing(self, listing, asked_at):
@@ -475,10 +471,6 @@
             # Another task has received a later read meanwhile.
             return
         self.listing = listing
-        incarnation = revisions.incarnation_of(listing.as_of)
-        if incarnation > self.incarnation:
-            self.incarnation = incarnation
-            self.restore_seen_at = self.boot_time()
         # Rankings of instances are kept as long as the members do not change.
         if listing.as_of >= self.book.last_read.as_of and (
             member_records != self.member_records
@@ -492,6 +484,7 @@
             self.merge_store_read(
                 leases.StoreRead(listing.as_of, asked_at), "store"
             )
+        self.listing_merged()
 
     def _set_outdated_groups(self, listed_at):
         """Determine which records the store lacks since its last restore.
@@ -501,11 +494,11 @@
         listed_at : dict of str to int
             Revisions at which the listed records were written, by group.
         """
+        incarnation = revisions.incarnation_of(self.listing.as_of)
         outdated = sorted(
             group
             for group in listed_at.keys() | self.book.leaderships.keys()
-            if revisions.incarnation_of(listed_at.get(group, 0))
-            < self.incarnation
+            if revisions.incarnation_of(listed_at.get(group, 0)) < incarnation
         )
         if outdated != self.outdated_groups:
             event(
@@ -541,7 +534,7 @@
         StoreUnavailable
             If the store does not answer.
         """
-        incarnation = self.incarnation
+        incarnation = revisions.incarnation_of(self.listing.as_of)
         value = value | {INCARNATION_FIELD: incarnation}
         if not revision:
             record = await self.store.create(interfaces.LEADERS, name, value)
--- a/balsamhinge/controllers/restoration.py
+++ b/balsamhinge/controllers/restoration.py
@@ -6,6 +6,7 @@
 import logbook
 
 from balsamhinge.controllers import clock
+from balsamhinge.controllers import duty
 from balsamhinge.controllers import leaders as leaders_module
 from balsamhinge import exceptions
 from balsamhinge.logs import event
@@ -61,8 +62,6 @@
                 log.notice,
                 "restoration_waits",
                 unheard=",".join(unheard),
-                usable_in_s=fleet.duty.may_promote_from
-                - fleet.dependencies.boot_time(),
             )
             return False
         contradicted = await self._find_contradicted() if unheard else set()
@@ -78,7 +77,7 @@
             groups=",".join(groups),
             contradicted=",".join(sorted(contradicted)),
             unheard=",".join(unheard),
-            incarnation=fleet.leaders.incarnation,
+            incarnation=fleet.store_health.incarnation,
             seconds=clock.now() - started_at,
         )
         return True
@@ -89,9 +88,7 @@
         Returns
         -------
         list of str
-            Instances that may know of a change without having told it: they
-            did not answer, have started since the restore, or are just
-            changing a primary.
+            Instances that may know of a change without having told it.
         """
         fleet = self._fleet
         members = fleet.other_members()
@@ -101,20 +98,33 @@
         unheard = [
             member.name
             for member, reply in zip(members, replies, strict=True)
-            if reply is None or not reply.as_of or not reply.promise_s
+            if not _tells_all_changes(reply)
         ]
         if not fleet.leaders.book.last_read.as_of:
             unheard.append(fleet.me.name)
-        return unheard
+        return [name for name in unheard if self._may_have_promoted(name)]
+
+    def _may_have_promoted(self, name):
+        """Return whether an instance may have promoted a target unnoticed.
+
+        Before it requests a promotion, the holder of the duty waits for all
+        instances, or `leases.LEASE_S`, and then writes to the store. One
+        that had promised to begin no change for some time after the store
+        came back cannot have written to its earlier incarnation since.
+        """
+        fleet = self._fleet
+        last_holder = fleet.duty.holder_before_restore
+        if fleet.duty.knows_last_holder() and name != last_holder:
+            return False
+        restored_at = fleet.store_health.restored_at
+        return fleet.gossip.promised_until(name) < restored_at
 
     def _may_restore_alone(self):
         """Return whether no other instance can still request a promotion."""
         fleet = self._fleet
         now = fleet.dependencies.boot_time()
-        return (
-            fleet.duty.kept_through_restore
-            or now >= fleet.duty.may_promote_from
-        )
+        restored_at = fleet.store_health.restored_at
+        return now >= restored_at + duty.HANDOVER_DELAY_S
 
     async def _find_contradicted(self):
         """Return the groups in which another target leads a later term."""
@@ -161,3 +171,13 @@
         leaders.merge_leadership(
             attrs.evolve(leadership, revision=record.revision), "own"
         )
+
+
+def _tells_all_changes(reply):
+    """Return whether a sender has told of each change that it knows of.
+
+    It has not if it did not answer, has started since the restore, so that
+    it does not know the changes of its earlier process, or is just changing
+    a primary.
+    """
+    return reply is not None and reply.as_of > 0 and reply.promise_s > 0
--- a/balsamhinge/fleet.py
+++ b/balsamhinge/fleet.py
@@ -72,7 +72,7 @@
         self.me = me
         self.dependencies = dependencies
         self.rng = random.Random(f"{seed}/{me.name}")
-        self.store_health = storehealth.StoreHealth()
+        self.store_health = storehealth.StoreHealth(dependencies.boot_time)
         self.directory = directory.DirectoryController(
             dependencies.store,
             self.store_health,
@@ -94,6 +94,7 @@
         self.gossip = gossip.GossipController(self)
         self.sampling = sampling.SamplingController(self)
         self.duty = duty.DutyController(self)
+        self.leaders.listing_merged = self.duty.merge_listing
         self.failover = failover.FailoverController(self)
         self.restoration = restoration.RestorationController(self)
         self.reported_response_times = {}
--- a/balsamhinge/platform/objects.py
+++ b/balsamhinge/platform/objects.py
@@ -4,11 +4,9 @@
 import urllib.parse
 
 import attrs
-import logbook
 
 from balsamhinge import exceptions
 from balsamhinge import interfaces
-from balsamhinge.logs import event
 from balsamhinge import metrics
 from balsamhinge.platform import decoding
 from balsamhinge.platform import http
@@ -34,8 +32,6 @@
 INCARNATION_HEADER = "store-era"
 FIRST_INCARNATION = 1
 
-log = logbook.Logger(__name__)
-
 
 @attrs.frozen
 class _Answer:
@@ -189,14 +185,7 @@
             raise exceptions.StoreUnavailable(
                 f"response of incarnation {incarnation}, before {earlier}"
             )
-        if incarnation != earlier:
-            event(
-                log.info if earlier is None else log.warning,
-                "store_incarnation",
-                incarnation=incarnation,
-                earlier=earlier,
-            )
-            self._incarnation = incarnation
+        self._incarnation = incarnation
         return incarnation
 
     def pop_call_counts(self):
--- a/tests/controllers/test_restoration.py
+++ b/tests/controllers/test_restoration.py
@@ -18,6 +18,11 @@
 
 # Interval of the check which primary an instance may use.
 POLL_INTERVAL_S = 0.002
+# Moment of an outage at which the holder dies.
+DEATH_S = 1.0
+# Time in which another instance succeeds a dead holder and completes the
+# records; without a restore the leases are renewed by then.
+SUCCESSION_S = 2.0
 # Time in which the holder finds out that the store has been restored.
 FOUND_OUT_S = 1.0
 
@@ -220,3 +225,19 @@
                 self.assertIsNotNone(found, one.me.name)
 
         self.run_fleet(scenario)
+
+    # Guards against leases that lapse for as long as a dead holder might
+    # still promote a target, though it had promised not to.
+    def test_a_holder_that_dies_during_the_outage_delays_little(self):
+        async def scenario(world):
+            copy = world.records.copy()
+            restoring = asyncio.ensure_future(world.restore_store(copy))
+            await asyncio.sleep(DEATH_S)
+            await world.kill(world.holder().me.name)
+            await restoring
+            await asyncio.sleep(SUCCESSION_S)
+            for one in world.fleets.values():
+                found = one.leaders.valid_leadership(world.group.name)
+                self.assertIsNotNone(found, one.me.name)
+
+        self.run_fleet(scenario)
