Date the last unnoticed promotion from the promise, not from its end

Cause: an instance counted as one that may have promoted a target as soon as its promise ended before the return. A change that it began right after its last message takes effect LEASE_S later, half a second after the promise. The wait for the others took its end from the handover, which is longer than what an entitlement and a call to the platform take together.

Change: both are computed from what they consist of; an instance whose leases rest on an earlier incarnation asks a sender of a later one at once.

--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -13,6 +13,7 @@
 from balsamhinge.policy import gossipmessages
 from balsamhinge.policy import leases
 from balsamhinge.policy import ownership
+from balsamhinge.policy import revisions
 
 __all__ = ["GossipController"]
 
@@ -441,8 +442,22 @@
             The reply.
         """
         self._merge_ageless(message)
+        self._catch_up(message)
         return self.build_message(message.sender)
 
+    def _catch_up(self, message):
+        """Ask a sender whose leases rest on a later incarnation of the store.
+
+        Its message cannot extend leases, as it may have been delayed; the
+        reply to this instance's own message can.
+        """
+        leaders = self._fleet.leaders
+        sender = leaders.members.get(message.sender)
+        known = revisions.incarnation_of(leaders.book.last_read.as_of)
+        told = revisions.incarnation_of(message.as_of)
+        if sender is not None and told > known:
+            self.schedule_exchange(sender)
+
     def _merge_ageless(self, message):
         """Merge the parts of a message that do not depend on its delay."""
         if message.sender not in self.last_messages:
--- a/balsamhinge/controllers/restoration.py
+++ b/balsamhinge/controllers/restoration.py
@@ -7,15 +7,20 @@
 
 from balsamhinge.controllers import clock
 from balsamhinge.controllers import duty
+from balsamhinge.controllers import failover
 from balsamhinge.controllers import leaders as leaders_module
 from balsamhinge import exceptions
 from balsamhinge.logs import event
 from balsamhinge.policy import failoverrules
+from balsamhinge.policy import leases
 from balsamhinge.policy import revisions
 
 __all__ = ["RestorationController"]
 
 RETRY_DELAY_S = 0.25
+# Time after a restore of the store in which an instance may still promote a
+# target, entitled by the store's earlier incarnation.
+LAST_PROMOTION_S = duty.ENTITLEMENT_S + failover.PROMOTE_CALL_TIMEOUT_S
 
 log = logbook.Logger(__name__)
 
@@ -43,8 +48,7 @@
         The holder of the duty calls this until no record is outdated.
         """
         try:
-            if not await self._restore():
-                await clock.pause(RETRY_DELAY_S)
+            await self._restore()
         except (
             exceptions.StoreUnavailable,
             exceptions.StoreConflict,
@@ -53,17 +57,20 @@
             await clock.pause(RETRY_DELAY_S)
 
     async def _restore(self):
-        """Write all outdated records again; return whether it was possible."""
+        """Write all outdated records again, or wait for the others."""
         fleet = self._fleet
         started_at = clock.now()
         unheard = await self._collect_changes()
-        if unheard and not self._may_restore_alone():
+        wait_s = self._wait_s()
+        if unheard and wait_s > 0:
             event(
                 log.notice,
                 "restoration_waits",
                 unheard=",".join(unheard),
+                wait_s=wait_s,
             )
-            return False
+            await clock.pause(min(wait_s, RETRY_DELAY_S))
+            return
         contradicted = await self._find_contradicted() if unheard else set()
         groups = list(fleet.leaders.outdated_groups)
         await asyncio.gather(
@@ -80,7 +87,6 @@
             incarnation=fleet.store_health.incarnation,
             seconds=clock.now() - started_at,
         )
-        return True
 
     async def _collect_changes(self):
         """Merge what all other instances know of changes of primaries.
@@ -108,23 +114,23 @@
         """Return whether an instance may have promoted a target unnoticed.
 
         Before it requests a promotion, the holder of the duty waits for all
-        instances, or `leases.LEASE_S`, and then writes to the store. One
-        that had promised to begin no change for some time after the store
-        came back cannot have written to its earlier incarnation since.
+        instances, this one included, or `leases.LEASE_S`, and then writes to
+        the store. The store's earlier incarnation took no more writes once
+        the store had come back.
         """
         fleet = self._fleet
         last_holder = fleet.duty.holder_before_restore
         if fleet.duty.knows_last_holder() and name != last_holder:
             return False
+        promised_at = fleet.gossip.promised_until(name) - leases.PROMISE_S
         restored_at = fleet.store_health.restored_at
-        return fleet.gossip.promised_until(name) < restored_at
+        return promised_at + leases.LEASE_S <= restored_at
 
-    def _may_restore_alone(self):
-        """Return whether no other instance can still request a promotion."""
+    def _wait_s(self):
+        """Return the seconds for which others may still promote unnoticed."""
         fleet = self._fleet
-        now = fleet.dependencies.boot_time()
-        restored_at = fleet.store_health.restored_at
-        return now >= restored_at + duty.HANDOVER_DELAY_S
+        until = fleet.store_health.restored_at + LAST_PROMOTION_S
+        return until - fleet.dependencies.boot_time()
 
     async def _find_contradicted(self):
         """Return the groups in which another target leads a later term."""
