Wait for instances whose registration a restored store has lost

What callers saw: two primaries in use at once after a restore: a change did not wait for an instance whose registration was newer than the copy, and that instance read and committed at the old primary for the rest of its lease.

Cause: the list of those that a change waits for was replaced by the copy's, and an instance took the reads that others told it for leases though it was not in the list itself.

Evidence: test_a_change_waits_for_an_instance_whose_record_is_lost found two valid primaries on the code before, test_an_unregistered_instance_gets_no_lease a lease of an instance that the holder did not know.

Change: registrations (policy/registrations.py, taken out of the leaders controller) that a restored store lacks are kept for as long as a lease may last. An instance extends no lease by reads of an incarnation in which its own registration has not been read, by itself or by the sender of a gossip message, which tells so in a new field; it ends its leases once it learns that its registration is missing, and looks for it as soon as a restore is known.

--- a/balsamhinge/controllers/failover.py
+++ b/balsamhinge/controllers/failover.py
@@ -637,14 +637,13 @@
             fleet.spawn(self._deregister(member.name))
 
     async def _deregister(self, name):
-        record = self._fleet.leaders.member_records.get(name)
+        key = leaders_module.member_key(name)
+        record = self._fleet.leaders.listing.records.get(key)
         if record is None:
             return
         try:
             await self._fleet.dependencies.store.delete(
-                interfaces.LEADERS,
-                leaders_module.member_key(name),
-                record.revision,
+                interfaces.LEADERS, key, record.revision
             )
         except exceptions.BalsamhingeError as exc:
             event(log.info, "deregister_failed", instance=name, error=exc)
--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -132,7 +132,7 @@
     async def run(self):
         """Start a gossip round at each interval."""
         while True:
-            if not self._fleet.registered:
+            if not self._fleet.leaders.registrations.was_confirmed:
                 await clock.pause(ROUND_INTERVAL_S / 4)
                 continue
             degraded = self._is_degraded()
@@ -331,7 +331,7 @@
             as_of=knowledge.as_of,
             age_s=min(1e9, now - knowledge.read_at),
             leaderships=newer_leaderships,
-            members=leaders.members_since(peer_as_of),
+            members=leaders.registrations.since(peer_as_of),
             left=dict(leaders.released),
             samples=fleet.sampling.latest_samples(now),
             heard_s=fleet.primary_response_ages_s(),
@@ -350,10 +350,11 @@
             stamp=gossipmessages.MessageTimestamp(self._process, now),
             echo=self._stamps.get(receiver),
             all_promise_s=self._promise_of_all_s(receiver, now),
-            members_key=leaders.members_key,
+            members_key=leaders.registrations.key,
             leaving=fleet.stopping,
             holder=fleet.duty.holder,
             holder_revision=fleet.duty.revision,
+            receiver_listed_in=leaders.registrations.listed_in(receiver),
         )
 
     def _promise_of_all_s(self, receiver, now):
@@ -473,7 +474,7 @@
         for leadership in message.leaderships:
             self._fleet.leaders.merge_leadership(leadership, message.sender)
         if message.members:
-            self._fleet.leaders.merge_members(message.members)
+            self._fleet.leaders.registrations.merge(message.members)
         self._fleet.duty.merge_holder(
             message.holder, message.holder_revision, message.sender
         )
@@ -514,13 +515,14 @@
             fleet.directory.confirm_until(
                 asked_at_loop - reply.directory_age_s
             )
+        self._merge_own_registration(reply)
         read_at = asked_at - reply.age_s
         fleet.leaders.merge_store_read(
             leases.StoreRead(reply.as_of, read_at), reply.sender
         )
         self._merge_promise(reply, asked_at)
         if reply.all_promise_s and (
-            reply.members_key == fleet.leaders.members_key
+            reply.members_key == fleet.leaders.registrations.key
         ):
             until = asked_at + reply.all_promise_s
             fleet.leaders.merge_promise_of_all(until, reply.sender)
@@ -531,6 +533,19 @@
                 clock.now() - heard_s,
             )
 
+    def _merge_own_registration(self, reply):
+        """Merge what a sender has read of this instance's registration.
+
+        Changes that are made by what the sender has read do not wait for
+        this instance if its registration was missing there.
+        """
+        registrations = self._fleet.leaders.registrations
+        listed_in = reply.receiver_listed_in
+        registrations.record_own(True, listed_in)
+        incarnation = revisions.incarnation_of(reply.as_of)
+        if listed_in < incarnation:
+            registrations.record_own(False, incarnation)
+
     async def announce_stop(self):
         """Tell other instances that this one is about to stop.
 
--- a/balsamhinge/controllers/leaders.py
+++ b/balsamhinge/controllers/leaders.py
@@ -9,10 +9,10 @@
 from balsamhinge import interfaces
 from balsamhinge.logs import event
 from balsamhinge.policy import gossipmessages
-from balsamhinge.policy import hashing
 from balsamhinge.policy import leases
 from balsamhinge.policy import ownership
 from balsamhinge.policy import positions
+from balsamhinge.policy import registrations
 from balsamhinge.policy import revisions
 from balsamhinge.policy import samples
 
@@ -65,14 +65,8 @@
 
     Attributes
     ----------
-    member_records : dict of str to MemberRecord
-        Registered instances by name.
-    members : dict of str to Member
-        The same without the revisions of their records.
-    other_names : tuple of str
-        Names of all other registered instances.
-    members_key : int
-        Hash of the names of all registered instances.
+    registrations : Registrations
+        The registered instances.
     released : dict of str to int
         By group, the revision of the last announced change for which this
         instance has released the old primary.
@@ -99,12 +93,7 @@
         self._me = me
         # Called after each read of the records.
         self.listing_merged = lambda: None
-        self.member_records = {}
-        # Derived from the records, as each statement needs `other_names`.
-        self.members = {}
-        self.other_names = ()
-        self.members_key = 0
-        self._latest_member_revision = 0
+        self.registrations = registrations.Registrations(me.name)
         self.boot_time = boot_time
         self.book = leases.PrimaryLeases()
         self.position_samples = {}
@@ -123,27 +112,25 @@
         # Whether the last own read of the store was of an earlier revision.
         self._ignoring_reads = False
 
-    def _set_members(self, records):
-        """Replace the records of all registered instances."""
-        self.member_records = records
-        self.members = {name: one.member for name, one in records.items()}
-        self.other_names = tuple(
-            name for name in records if name != self._me.name
-        )
-        self.members_key = hashing.hash_text("/".join(sorted(records)))
-        self._latest_member_revision = max(
-            (record.revision for record in records.values()), default=0
-        )
+    @property
+    def members(self):
+        """Registered instances by name."""
+        return self.registrations.members
 
-    def members_since(self, revision):
-        """Return the member records that are later than a store revision."""
-        if revision >= self._latest_member_revision:
-            return []
-        return [
-            record
-            for record in self.member_records.values()
-            if record.revision > revision
-        ]
+    @property
+    def other_names(self):
+        """Names of all registered instances but this one."""
+        return self.registrations.other_names
+
+    @property
+    def is_registered(self):
+        """Whether the store, as last restored, holds this instance's record.
+
+        A change of a primary waits for registered instances only.
+        """
+        if self.registrations.confirmed_in < self._health.incarnation:
+            return False
+        return self.members.get(self._me.name) == self._me
 
     def valid_leadership(self, group):
         """Return the `Leadership` of a group if its lease is valid now.
@@ -155,13 +142,19 @@
         -------
         Leadership or None
         """
-        own = self.member_records.get(self._me.name)
-        if own is None or self.book.last_read.as_of < own.revision:
+        if not self._is_waited_for():
             return None
         return self.book.valid_leadership(
             group, self.boot_time(), self.other_names
         )
 
+    def _is_waited_for(self):
+        """Return whether changes of primaries wait for this instance."""
+        own = self.registrations.records.get(self._me.name)
+        if own is None or self.registrations.is_in_doubt:
+            return False
+        return self.book.last_read.as_of >= own.revision
+
     def latest(self, group):
         """Return the latest `Leadership` of any age, or None."""
         return self.book.leaderships.get(group)
@@ -369,7 +362,8 @@
             )
         if source == "store":
             self._ignoring_reads = ignored
-        if ignored:
+        incarnation = revisions.incarnation_of(knowledge.as_of)
+        if ignored or incarnation > self.registrations.confirmed_in:
             return
         if self.book.merge_store_read(knowledge):
             self._log_lease_validity(source)
@@ -471,11 +465,12 @@
             # Another task has received a later read meanwhile.
             return
         self.listing = listing
-        # Rankings of instances are kept as long as the members do not change.
-        if listing.as_of >= self.book.last_read.as_of and (
-            member_records != self.member_records
-        ):
-            self._set_members(member_records)
+        if listing.as_of >= self.book.last_read.as_of:
+            self.registrations.merge_listing(
+                member_records,
+                revisions.incarnation_of(listing.as_of),
+                asked_at,
+            )
         self.duty_record = listing.records.get(DUTY_KEY)
         self.challenge_record = listing.records.get(CHALLENGE_KEY)
         self.duty_read_at = asked_at
@@ -551,22 +546,6 @@
             )
         return record
 
-    def merge_members(self, records):
-        """Merge records of registered instances.
-
-        Parameters
-        ----------
-        records : iterable of MemberRecord
-            The records; later revisions replace earlier ones.
-        """
-        merged = dict(self.member_records)
-        for record in records:
-            current = merged.get(record.member.name)
-            if current is None or current.revision < record.revision:
-                merged[record.member.name] = record
-        if merged != self.member_records:
-            self._set_members(merged)
-
     def record_position(self, leadership, asked_at, position):
         """Record a position that a primary reported.
 
--- a/balsamhinge/controllers/restoration.py
+++ b/balsamhinge/controllers/restoration.py
@@ -134,29 +134,41 @@
 
     async def _find_contradicted(self):
         """Return the groups in which another target leads a later term."""
-        fleet = self._fleet
-        found = set()
-        for group in fleet.leaders.outdated_groups:
-            leadership = fleet.leaders.latest(group)
-            reports = await fleet.failover.query_reports(
-                fleet.directory.active_targets(group)
-            )
-            newer = failoverrules.find_newer_leader(
-                reports,
-                leadership.target,
-                fleet.leaders.last_position(leadership).term,
+        groups = list(self._fleet.leaders.outdated_groups)
+        contradicted = await asyncio.gather(
+            *(self._is_contradicted(group) for group in groups)
+        )
+        return {
+            group
+            for group, is_contradicted in zip(
+                groups, contradicted, strict=True
             )
-            if newer is not None:
-                event(
-                    log.warning,
-                    "record_contradicted",
-                    group=group,
-                    target=leadership.target,
-                    leads=newer,
-                    revision=revisions.describe(leadership.revision),
-                )
-                found.add(group)
-        return found
+            if is_contradicted
+        }
+
+    async def _is_contradicted(self, group):
+        """Return whether another target of a group leads a later term."""
+        fleet = self._fleet
+        leadership = fleet.leaders.latest(group)
+        reports = await fleet.failover.query_reports(
+            fleet.directory.active_targets(group)
+        )
+        newer = failoverrules.find_newer_leader(
+            reports,
+            leadership.target,
+            fleet.leaders.last_position(leadership).term,
+        )
+        if newer is None:
+            return False
+        event(
+            log.warning,
+            "record_contradicted",
+            group=group,
+            target=leadership.target,
+            leads=newer,
+            revision=revisions.describe(leadership.revision),
+        )
+        return True
 
     async def _write(self, group, contradicted):
         """Write the record of a group again, as the latest one known.
--- a/balsamhinge/controllers/storehealth.py
+++ b/balsamhinge/controllers/storehealth.py
@@ -2,6 +2,7 @@
 
 import logbook
 
+from balsamhinge.controllers import changenotifier
 from balsamhinge.controllers import clock
 from balsamhinge.logs import event
 from balsamhinge.policy import revisions
@@ -21,6 +22,8 @@
 
     Attributes
     ----------
+    restores : ChangeNotifier
+        Wakes the coroutines that wait for a restore of the store.
     failing : bool
         Whether the last call failed.
     answered_at : float
@@ -36,6 +39,7 @@
 
     def __init__(self, boot_time):
         self._boot_time = boot_time
+        self.restores = changenotifier.ChangeNotifier()
         self.incarnation = 0
         self.restored_at = float("-inf")
         self.failing = False
@@ -78,3 +82,4 @@
         )
         self.incarnation = incarnation
         self.restored_at = self._boot_time()
+        self.restores.notify_all()
--- a/balsamhinge/fleet.py
+++ b/balsamhinge/fleet.py
@@ -109,7 +109,7 @@
     @property
     def registered(self):
         """Return whether the store holds this instance's current record."""
-        return self.leaders.members.get(self.me.name) == self.me
+        return self.leaders.is_registered
 
     @property
     def may_change_primaries(self):
@@ -262,16 +262,19 @@
                 if self.registered
                 else REGISTER_RETRY_INTERVAL_S
             )
-            await clock.pause(interval_s * self.rng.uniform(0.8, 1.2))
+            # A restore of the store may have lost the record.
+            await self.store_health.restores.wait(
+                interval_s * self.rng.uniform(0.8, 1.2)
+            )
 
     async def _write_member_record(self, value):
         await self.leaders.read()
-        current = self.leaders.member_records.get(self.me.name)
-        if current is not None and current.member == self.me:
+        if self.registered:
             return
         key = leaders.member_key(self.me.name)
-        if current is not None:
-            await self.leaders.put_record(key, value, current.revision)
+        listed = self.leaders.listing.records.get(key)
+        if listed is not None:
+            await self.leaders.put_record(key, value, listed.revision)
         else:
             self._may_change_primaries_from = (
                 self.dependencies.boot_time() + leases.EXTENDED_LEASE_S
--- a/balsamhinge/metrics.py
+++ b/balsamhinge/metrics.py
@@ -129,7 +129,7 @@
     LEASES_VALID.set(now < valid_until)
     DUTY_HELD.set(fleet.duty.held)
     ISOLATED.set(fleet.isolated)
-    INSTANCES.set(len(leaders.member_records))
+    INSTANCES.set(len(leaders.members))
     CONFIGURATION_VERSION.set(fleet.directory.table.version)
     for pool in fleet.target_pools.pools():
         name = pool.target.name
--- a/balsamhinge/policy/gossipmessages.py
+++ b/balsamhinge/policy/gossipmessages.py
@@ -115,6 +115,9 @@
         Latest known holder of the promotion duty.
     holder_revision : int
         Store revision of the duty record.
+    receiver_listed_in : int
+        Incarnation of the store in which the sender has last read the
+        receiver's registration; -1 for none.
     """
 
     sender: str
@@ -139,3 +142,4 @@
     leaving: bool = False
     holder: str = ""
     holder_revision: int = 0
+    receiver_listed_in: int = -1
