End watches that were begun before the store was restored

What callers saw: a confirmed change of the configuration that came into force nowhere, without any line that says so.

Cause: a watch asks for what follows a revision. If the store has given out that revision again by the time of the question, it answers with later changes only; those between the copy and that revision are never seen. 410 comes only from a store that has not got so far yet.

Change: the incarnation in an answer, or one already known, tells that a watch is from before the restore; it ends as if its history had expired, and the records are listed again. The stand-in for the store does the same.

--- a/balsamhinge/platform/objects.py
+++ b/balsamhinge/platform/objects.py
@@ -100,6 +100,8 @@
 
     async def watch(self, kind, after, wait_s):
         """See `RecordStore.watch`."""
+        if self._was_restored_since(after):
+            raise exceptions.HistoryExpired(kind)
         number = revisions.number_of(after)
         query = f"?watch={number}&wait_ms={int(wait_s * 1000)}"
         answer = await self._call(
@@ -107,6 +109,9 @@
             self._path(kind) + query,
             timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S,
         )
+        if self._was_restored_since(after):
+            # The store has given out that revision again.
+            raise exceptions.HistoryExpired(kind)
         changes = []
         for item in answer.body["events"]:
             record = answer.decode_record(kind, item["object"])
@@ -136,6 +141,13 @@
         number = revisions.number_of(revision)
         await self._call("DELETE", f"{path}?revision={number}")
 
+    def _was_restored_since(self, revision):
+        """Return whether the store was restored after a revision was told."""
+        known = self._incarnation
+        return known is not None and (
+            revisions.incarnation_of(revision) < known
+        )
+
     def _path(self, kind):
         return f"{PATH}/{PLATFORM_KINDS.get(kind, kind)}"
 
--- a/balsamhinge/standins/records.py
+++ b/balsamhinge/standins/records.py
@@ -200,6 +200,8 @@
         begun = loop.time()
         until = begun + wait_s
         while True:
+            if revisions.incarnation_of(after) != self._records.incarnation:
+                raise exceptions.HistoryExpired(kind)
             changes = self._records.since(kind, revisions.number_of(after))
             left_s = until - loop.time()
             if self._records.is_silent(begun):
--- a/tests/controllers/test_directory.py
+++ b/tests/controllers/test_directory.py
@@ -7,11 +7,13 @@
 from balsamhinge import interfaces
 from tests.support import virtual
 
-__all__ = ["LargeFleetTest", "SilentWatchTest"]
+__all__ = ["LargeFleetTest", "RestoreTest", "SilentWatchTest"]
 
 LARGE = {"instances": 7}
 # A configuration has to be in force everywhere within this time.
 IN_FORCE_S = 3.0
+# Changes of the configuration that the store loses in a restore.
+LOST_CHANGES = 6
 # Time to start an instance: several calls to the store, 4 ms each.
 START_S = 0.05
 # Time after which a configuration counts as lost.
@@ -103,6 +105,42 @@
         self.run_fleet(scenario, **LARGE)
 
 
+class RestoreTest(virtual.FleetTestCase):
+    """Pattern: the store comes back from an older copy."""
+
+    def measure_in_force_s(self, **options):
+        """Return how long a change takes that is made after the return.
+
+        The store has given out the revisions again from which the instances
+        watch it before they ask for the first time.
+        """
+        took_s = []
+
+        async def scenario(world):
+            copy = world.records.copy()
+            for _ in range(LOST_CHANGES):
+                world.configure()
+            await asyncio.sleep(1.0)
+            latest = world.records.revision
+            await world.restore_store(copy)
+            table = world.configure()
+            self.assertLess(world.records.revision, latest)
+            while world.records.revision <= latest:
+                world.list_targets()
+            took_s.append(await wait_in_force(world, table.version))
+
+        self.run_fleet(scenario, **options)
+        return took_s[0]
+
+    # Guards against a configuration that no watch ever delivers.
+    def test_a_change_just_after_a_restore_is_in_force_in_time(self):
+        self.assertLess(self.measure_in_force_s(), IN_FORCE_S)
+
+    # The same where a few instances follow the store for all.
+    def test_a_change_after_a_restore_reaches_a_large_fleet(self):
+        self.assertLess(self.measure_in_force_s(**LARGE), IN_FORCE_S)
+
+
 class SilentWatchTest(virtual.FleetTestCase):
     """Pattern: open connections stop delivering while new ones work."""
 
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -200,6 +200,7 @@
                 body += event.data
             elif isinstance(event, h11.EndOfMessage):
                 status, content = await self._answer(request, body)
+                incarnation = self._tell_incarnation()
                 if self.after_next_response is not None:
                     self.after_next_response()
                     self.after_next_response = None
@@ -208,7 +209,7 @@
                     status_code=status,
                     headers=[
                         ("Content-Length", str(len(data))),
-                        (objects.INCARNATION_HEADER, self._tell_incarnation()),
+                        (objects.INCARNATION_HEADER, incarnation),
                     ],
                 )
                 writer.write(machine.send(response))
--- /dev/null
+++ b/tests/platform/test_objects.py
@@ -0,0 +1,76 @@
+"""Tests of the store's client across a restore of the store."""
+
+import asyncio
+
+import testtools
+
+from balsamhinge import exceptions
+from balsamhinge.platform import objects
+from balsamhinge.policy import revisions
+from balsamhinge.standins import records
+from tests.platform import standins
+
+__all__ = ["RestoreTest"]
+
+KIND = "leaders"
+
+
+class RestoreTest(testtools.TestCase):
+    """Revisions that the store has given out again."""
+
+    def run_store(self, scenario):
+        """Run `scenario(store, backing, server)` on loopback sockets."""
+
+        async def run():
+            backing = records.Records()
+            server = standins.ObjectServer(backing, {})
+            await server.start()
+            store = objects.PlatformObjects(server.address)
+            try:
+                await scenario(store, backing, server)
+            finally:
+                store.close()
+                server.stop()
+
+        asyncio.run(run())
+
+    async def assert_raises(self, error, call):
+        """Check that awaiting a call raises an error."""
+        try:
+            await call
+        except error:
+            return
+        self.fail(f"no {error.__name__}")
+
+    # Guards against changes that are never seen: the store has given out the
+    # revision again that a watch starts from, and does not answer 410.
+    def test_a_watch_from_before_a_restore_expires(self):
+        async def scenario(store, backing, _server):
+            copy = backing.copy()
+            backing.put(KIND, "a", {"x": 1})
+            listing = await store.list(KIND)
+            backing.restore(copy)
+            backing.put(KIND, "b", {"x": 2})
+            backing.put(KIND, "c", {"x": 3})
+            self.assertLess(
+                revisions.number_of(listing.as_of), backing.revision
+            )
+            await self.assert_raises(
+                exceptions.HistoryExpired,
+                store.watch(KIND, listing.as_of, 0.2),
+            )
+
+        self.run_store(scenario)
+
+    # Guards against a list whose pages are from before and after a restore.
+    def test_a_list_across_a_restore_fails(self):
+        async def scenario(store, backing, server):
+            for name in "abcde":
+                backing.put(KIND, name, {})
+            copy = backing.copy()
+            server.after_next_response = lambda: backing.restore(copy)
+            await self.assert_raises(
+                exceptions.StoreUnavailable, store.list(KIND)
+            )
+
+        self.run_store(scenario)
