Let conditional changes from before a restore conflict

What callers could have seen: a registration deleted, a primary's record or the duty replaced by an instance that meant another version of it.

Cause: a condition names a revision, and a restored store gives out the same numbers again, so that the condition holds for another change of the record.

Change: a revision of an earlier incarnation is not sent any more once the restore is known; if the answer to the change is the first to tell of it, the change counts as a conflict, and the next read shows what became of it. Two tests failed before.

--- a/balsamhinge/interfaces.py
+++ b/balsamhinge/interfaces.py
@@ -351,7 +351,8 @@
         Raises
         ------
         HistoryExpired
-            If the store no longer holds the changes since that revision.
+            If the store no longer holds the changes since that revision, or
+            was restored after it was told.
         """
 
     @abc.abstractmethod
@@ -371,14 +372,15 @@
         Raises
         ------
         StoreConflict
-            If the record has another revision.
+            If the record has another revision. If the store was restored
+            after that revision was told, the change may have been made.
         RecordNotFound
             If there is no record of that name.
         """
 
     @abc.abstractmethod
     async def delete(self, kind, name, revision):
-        """Delete a record if it has `revision`."""
+        """Delete a record if it has `revision`; see `replace`."""
 
 
 class PromotionClient(abc.ABC):
--- a/balsamhinge/platform/objects.py
+++ b/balsamhinge/platform/objects.py
@@ -132,14 +132,29 @@
         number = revisions.number_of(revision)
         body = {"meta": {"name": name, "revision": number}, "spec": value}
         path = f"{self._path(kind)}/{urllib.parse.quote(name)}"
-        answer = await self._call("PUT", path, body)
+        answer = await self._call_if_current("PUT", path, revision, body)
         return answer.decode_record(kind, answer.body)
 
     async def delete(self, kind, name, revision):
         """See `RecordStore.delete`."""
         path = f"{self._path(kind)}/{urllib.parse.quote(name)}"
         number = revisions.number_of(revision)
-        await self._call("DELETE", f"{path}?revision={number}")
+        await self._call_if_current(
+            "DELETE", f"{path}?revision={number}", revision
+        )
+
+    async def _call_if_current(self, method, path, revision, body=None):
+        """Make a call whose condition is a revision of the present store.
+
+        A restored store may have given out the revision again, for another
+        change of the same record.
+        """
+        if self._was_restored_since(revision):
+            raise exceptions.StoreConflict(path)
+        answer = await self._call(method, path, body)
+        if self._was_restored_since(revision):
+            raise exceptions.StoreConflict(f"{path}: made after a restore")
+        return answer
 
     def _was_restored_since(self, revision):
         """Return whether the store was restored after a revision was told."""
--- a/balsamhinge/standins/records.py
+++ b/balsamhinge/standins/records.py
@@ -240,13 +240,16 @@
         """See `RecordStore.replace`."""
         await self._reach()
         self._check(kind, name, revision)
-        return await self._answer(self._records.put(kind, name, value))
+        answer = await self._answer(self._records.put(kind, name, value))
+        self._check_current(name, revision)
+        return answer
 
     async def delete(self, kind, name, revision):
         """See `RecordStore.delete`."""
         await self._reach()
         self._check(kind, name, revision)
         self._records.drop(kind, name)
+        self._check_current(name, revision)
 
     def _check(self, kind, name, revision):
         held = self._held(kind, name)
@@ -254,3 +257,8 @@
             raise exceptions.RecordNotFound(name)
         if held.revision != revisions.number_of(revision):
             raise exceptions.StoreConflict(name)
+
+    def _check_current(self, name, revision):
+        """Raise if the store was restored after a revision was told."""
+        if revisions.incarnation_of(revision) != self._records.incarnation:
+            raise exceptions.StoreConflict(name)
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -62,6 +62,40 @@
 
         self.run_store(scenario)
 
+    # Guards against a conditional change that replaces another record: its
+    # revision was given out a second time.
+    def test_a_condition_from_before_a_restore_conflicts(self):
+        async def scenario(store, backing, _server):
+            copy = backing.copy()
+            mine = await store.create(KIND, "a", {"x": 1})
+            backing.restore(copy)
+            other = backing.put(KIND, "a", {"x": 2})
+            self.assertEqual(
+                revisions.number_of(mine.revision), other.revision
+            )
+            await store.list(KIND)
+            for call in (
+                store.replace(KIND, "a", {"x": 3}, mine.revision),
+                store.delete(KIND, "a", mine.revision),
+            ):
+                await self.assert_raises(exceptions.StoreConflict, call)
+            self.assertEqual({"x": 2}, backing.kinds[KIND]["a"].value)
+
+        self.run_store(scenario)
+
+    # The same where the answer to the change is the first one that tells of
+    # the restore: the change may have been made, but not as it was meant.
+    def test_a_change_that_meets_a_restored_store_conflicts(self):
+        async def scenario(store, backing, _server):
+            mine = await store.create(KIND, "a", {"x": 1})
+            backing.restore(backing.copy())
+            await self.assert_raises(
+                exceptions.StoreConflict,
+                store.replace(KIND, "a", {"x": 2}, mine.revision),
+            )
+
+        self.run_store(scenario)
+
     # Guards against a list whose pages are from before and after a restore.
     def test_a_list_across_a_restore_fails(self):
         async def scenario(store, backing, server):
