Let what is known of targets outlast an older copy of their entries

Cause: a restored store lists entries as of the copy, and they replaced later ones at once: a target that is leaving was ready again, one that had left was back, one that had restarted was in its earlier life.

Change: for the two seconds in which targets write again after a return, a listed entry does not undo that a target has announced its end or restarted (policy/targetentries.py); targets that have left are remembered for a minute. After that the store's entries count alone.

The soak on the virtual clock can restore the store from copies (--restores), and checks that fences never decrease.

--- a/balsamhinge/controllers/directory.py
+++ b/balsamhinge/controllers/directory.py
@@ -13,6 +13,7 @@
 from balsamhinge.policy import revisions
 from balsamhinge.policy import routes
 from balsamhinge.policy import routingdeltas
+from balsamhinge.policy import targetentries
 
 __all__ = ["DirectoryController", "RecordFollower"]
 
@@ -33,9 +34,12 @@
 MAX_GOSSIP_AGE_S = 1.5
 # Random addition to that age, so that not all instances start at once.
 MAX_GOSSIP_AGE_JITTER_S = 0.5
-# Entries that the store dropped during an outage are registered again within
-# about two seconds of its end.
+# Entries that the store dropped during an outage, or lost in a restore, are
+# registered again within about two seconds of its end.
 REREGISTRATION_S = 2.0
+# Time for which a target that has left is remembered; older than any copy from
+# which a store is restored.
+LEFT_RETENTION_S = 60.0
 
 log = logbook.Logger(__name__)
 
@@ -195,6 +199,12 @@
         self.targets_as_of = 0
         self.target_entries = []
         self._missing = {}
+        # Last entries of targets that have left, and when they were dropped.
+        self._left = {}
+        # Latest entries from before a restore of the store, and until when
+        # they count: by then each target has written its entry again.
+        self._before_restore = {}
+        self._restore_ends_at = float("-inf")
         self.table_changed = asyncio.Event()
         resumed = self._follow_resumed = asyncio.Event()
         self.routes = RecordFollower(
@@ -313,10 +323,16 @@
                 latest_as_of=revisions.describe(self.targets_as_of),
             )
             return
+        now = clock.now()
+        if revisions.incarnation_of(as_of) > revisions.incarnation_of(
+            self.targets_as_of
+        ):
+            self._remember_entries(now)
         self.targets_as_of = as_of
         self.target_entries = entries
-        listed = {target.name: target for target in entries}
-        now = clock.now()
+        listed = {
+            target.name: self._reconcile(target, now) for target in entries
+        }
         for name, target in self.targets.items():
             if name in listed or name in self._missing:
                 continue
@@ -350,6 +366,30 @@
         self.targets = kept | listed
         self.sweep()
 
+    def _remember_entries(self, now):
+        """Keep all entries, as the store was restored from an older copy."""
+        known = {name: left for name, (left, _at) in self._left.items()}
+        self._before_restore = known | self.targets
+        self._restore_ends_at = now + REREGISTRATION_S
+
+    def _reconcile(self, target, now):
+        """Return the entry of a target to use, see `reconcile_entry`."""
+        known = self._before_restore.get(target.name)
+        if known is None or now >= self._restore_ends_at:
+            return target
+        return targetentries.reconcile_entry(known, target)
+
+    def _forget_entries(self, now):
+        """Go by the store alone once all targets have written again."""
+        self._left = {
+            name: (left, at)
+            for name, (left, at) in self._left.items()
+            if now - at < LEFT_RETENTION_S
+        }
+        if self._before_restore and now >= self._restore_ends_at:
+            self._before_restore = {}
+            self.merge_targets(self.targets_as_of, self.target_entries)
+
     def sweep(self):
         """Remove missing targets that have not registered again in time.
 
@@ -358,12 +398,15 @@
         if self.is_following():
             self._follow_resumed.set()
         now = clock.now()
+        self._forget_entries(now)
         if self._health.failing:
             return
         since = self._health.returned_at + REREGISTRATION_S
         for name, missing in list(self._missing.items()):
             if now >= max(since, missing.until):
                 del self._missing[name]
+                if missing.target.leaving:
+                    self._left[name] = missing.target, now
                 self.targets.pop(name, None)
 
     def active_targets(self, group):
--- a/tests/controllers/test_directory.py
+++ b/tests/controllers/test_directory.py
@@ -2,18 +2,27 @@
 
 import asyncio
 
+import attrs
+
 from balsamhinge.controllers import clock
 from balsamhinge.controllers import directory
 from balsamhinge import interfaces
 from tests.support import virtual
 
-__all__ = ["LargeFleetTest", "RestoreTest", "SilentWatchTest"]
+__all__ = [
+    "LargeFleetTest",
+    "RestoreTest",
+    "RestoredEntriesTest",
+    "SilentWatchTest",
+]
 
 LARGE = {"instances": 7}
 # A configuration has to be in force everywhere within this time.
 IN_FORCE_S = 3.0
 # Changes of the configuration that the store loses in a restore.
 LOST_CHANGES = 6
+# Start of a target's later life, after the one that its first entry tells.
+BORN_MS = 2**40
 # Time to start an instance: several calls to the store, 4 ms each.
 START_S = 0.05
 # Time after which a configuration counts as lost.
@@ -141,6 +150,78 @@
         self.assertLess(self.measure_in_force_s(**LARGE), IN_FORCE_S)
 
 
+class RestoredEntriesTest(virtual.FleetTestCase):
+    """What the copy says of targets, until they have written again."""
+
+    def check_restored(self, change, check):
+        """Check each instance after a restore that loses a change.
+
+        Parameters
+        ----------
+        change : coroutine function
+            Changes the entry of a target, given the world and the target.
+        check : callable
+            Called with the directory of each instance and the target's name.
+        """
+
+        async def scenario(world):
+            copy = world.records.copy()
+            target = next(iter(world.group.targets.values()))
+            await change(world, target)
+            await asyncio.sleep(1.0)
+            world.records.knobs.down = True
+            await asyncio.sleep(1.0)
+            world.records.restore(copy)
+            world.records.knobs.down = False
+            until = clock.now() + directory.REREGISTRATION_S
+            while clock.now() < until:
+                for one in world.fleets.values():
+                    check(one.directory, target.name)
+                await asyncio.sleep(0.01)
+            # What has not been written again by now is what the store says.
+            await asyncio.sleep(1.0)
+            for one in world.fleets.values():
+                entry = one.directory.targets[target.name]
+                self.assertEqual(
+                    (target.entry().leaving, target.entry().born_ms),
+                    (entry.leaving, entry.born_ms),
+                )
+
+        self.run_fleet(scenario)
+
+    def check_inactive(self, known, name):
+        """Check that a target gets no new work."""
+        active = [one.name for one in known.active_targets("ladder-1")]
+        self.assertNotIn(name, active)
+
+    # Guards against new work at a target that has announced its end.
+    def test_a_leaving_target_gets_no_work_after_a_restore(self):
+        async def announce(world, target):
+            world.leave(target)
+
+        self.check_restored(announce, self.check_inactive)
+
+    # The same for a target that has left altogether.
+    def test_a_target_that_has_left_gets_no_work_after_a_restore(self):
+        async def leave(world, target):
+            world.leave(target)
+            await asyncio.sleep(1.0)
+            world.records.drop(interfaces.TARGETS, target.name)
+
+        self.check_restored(leave, self.check_inactive)
+
+    # Guards against the entry of an earlier life of a target.
+    def test_the_entry_of_a_restarted_target_is_kept(self):
+        async def restart(world, target):
+            entry = attrs.evolve(target.entry(), born_ms=BORN_MS)
+            world.records.put(interfaces.TARGETS, target.name, entry)
+
+        def check(known, name):
+            self.assertEqual(BORN_MS, known.targets[name].born_ms)
+
+        self.check_restored(restart, check)
+
+
 class SilentWatchTest(virtual.FleetTestCase):
     """Pattern: open connections stop delivering while new ones work."""
 
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -1,7 +1,8 @@
 """Random faults, two at a time, on a fleet of the virtual clock.
 
 ``python -m tests.soak --first 0 --seeds 100`` plays seeds and prints what
-broke; the tests of CI play a few.
+broke; the tests of CI play a few. With ``--restores`` the store also comes
+back from older copies.
 """
 
 import argparse
@@ -29,6 +30,8 @@
 HEAL_S = 14.0
 ITEMS = 4
 THINK_S = 0.06
+# How much more often than another fault the store is restored.
+RESTORE_WEIGHT = 5
 # A target takes so long to hear of another primary.
 STEP_DOWN_S = 1.0
 # Answers after which a write may have been kept.
@@ -109,8 +112,9 @@
 class Soak:
     """One seed's callers and faults."""
 
-    def __init__(self, seed):
+    def __init__(self, seed, restores):
         self.rng = random.Random(f"soak/{seed}")
+        self._restores = restores
         self.outcome = Outcome(seed)
         self.world = fleet.FleetWorld(instances=2)
         self.world.group.runs = RunLog(self.world.group)
@@ -137,6 +141,7 @@
         await asyncio.gather(*callers)
         await self._check_service()
         self._check()
+        self._check_fences()
         self.outcome.promotions = len(world.promotions)
         await world.stop()
         return self.outcome
@@ -227,6 +232,7 @@
             self._leave,
             self._lose_answers,
         ]
+        kinds += [self._store_restored] * (RESTORE_WEIGHT * self._restores)
         while clock.now() < ends_at:
             await asyncio.sleep(self.rng.uniform(0.0, 2.0))
             kind = self.rng.choice(kinds)
@@ -287,6 +293,11 @@
         await self._for_a_while()
         knobs.down = False
 
+    async def _store_restored(self):
+        copy = self.world.records.copy()
+        await self._for_a_while()
+        await self.world.restore_store(copy, self.rng.uniform(0.05, 3.0))
+
     async def _store_forgets(self):
         knobs = self.world.records.knobs
         knobs.silent_watches = True
@@ -361,6 +372,11 @@
                         f"{write.request_id} of {write.ended:.3f}"
                     )
 
+    def _check_fences(self):
+        fences = [fence for _holder, fence, _target in self.world.promotions]
+        if fences != sorted(fences):
+            self._break(f"fences decrease: {fences}")
+
     def _break(self, text):
         self.outcome.broken.append(text)
 
@@ -377,11 +393,19 @@
     return write.ended < read.begun - fleet.MAX_AGE_S
 
 
-def play(seed):
-    """Return the `Outcome` of one seed."""
+def play(seed, restores=False):
+    """Return the `Outcome` of one seed.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of all random choices.
+    restores : bool
+        Whether the store also comes back from older copies.
+    """
 
     async def run():
-        return await Soak(seed).play()
+        return await Soak(seed, restores).play()
 
     return virtual.run_virtual(run())
 
@@ -393,10 +417,11 @@
     )
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--seeds", type=int, default=20)
+    parser.add_argument("--restores", action="store_true")
     args = parser.parse_args(argv)
     red = 0
     for seed in range(args.first, args.first + args.seeds):
-        outcome = play(seed)
+        outcome = play(seed, args.restores)
         served = sum(ask.problem is None for ask in outcome.asks)
         print(
             f"seed={seed} asks={len(outcome.asks)} served={served} "
