Tell leaderships of one epoch apart by their primary

What callers could have seen: commits at a primary that another one has replaced, acknowledged as current; reads of a stated age that only the primary serves at one instance, for good.

Cause: the epoch numbers the changes of a primary, and each record's epoch follows from the record before. A change that the store has lost and that only an unreachable instance knows gives its epoch to the next change as well.

Change: a leadership is the same one only if its primary is the same too.

--- a/balsamhinge/controllers/leaders.py
+++ b/balsamhinge/controllers/leaders.py
@@ -104,7 +104,7 @@
         self.listing = interfaces.Listing({}, 0)
         self.outdated_groups = []
         self._changed = asyncio.Event()
-        # Work in progress, by group and epoch.
+        # Work in progress, by group, epoch and primary.
         self._work_counts = {}
         # Boot-clock seconds, by group.
         self._grace_ends_at = {}
@@ -207,7 +207,7 @@
     def is_valid(self, leadership):
         """Return whether a leadership is current and its lease valid."""
         valid = self.valid_leadership(leadership.group)
-        return valid is not None and valid.epoch == leadership.epoch
+        return valid is not None and valid.is_same_leader(leadership)
 
     def may_commit(self, leadership):
         """Return whether work under a leadership may still be committed.
@@ -217,7 +217,7 @@
         lease that this instance had at the announcement has expired.
         """
         latest = self.latest(leadership.group)
-        if latest is None or latest.epoch != leadership.epoch:
+        if latest is None or not latest.is_same_leader(leadership):
             return False
         if not latest.changing:
             return self.is_valid(leadership)
@@ -245,7 +245,7 @@
         """
         while not self.may_commit(leadership):
             latest = self.latest(leadership.group)
-            ended = latest is None or latest.epoch != leadership.epoch
+            ended = latest is None or not latest.is_same_leader(leadership)
             if ended or latest.changing:
                 return False
             if clock.now() >= until or not await self.wait_change(until):
@@ -256,12 +256,12 @@
 
     def begin_work(self, leadership):
         """Count work that begins under a leadership."""
-        key = leadership.group, leadership.epoch
+        key = _work_key(leadership)
         self._work_counts[key] = self._work_counts.get(key, 0) + 1
 
     def end_work(self, leadership):
         """Count work that has ended under a leadership."""
-        key = leadership.group, leadership.epoch
+        key = _work_key(leadership)
         self._work_counts[key] -= 1
         if not self._work_counts[key]:
             del self._work_counts[key]
@@ -275,7 +275,7 @@
                 continue
             if self.released.get(group, 0) >= leadership.revision:
                 continue
-            busy = self._work_counts.get((group, leadership.epoch), 0)
+            busy = self._work_counts.get(_work_key(leadership), 0)
             in_grace = leadership.orderly and now < self._grace_ends_at[group]
             if busy and in_grace:
                 continue
@@ -298,7 +298,7 @@
         has replaced this one. The outcome of an unfinished commit is unknown.
         """
         latest = self.latest(leadership.group)
-        if latest is None or latest.epoch != leadership.epoch:
+        if latest is None or not latest.is_same_leader(leadership):
             return True
         return latest.changing and (
             self.released.get(latest.group, 0) >= latest.revision
@@ -561,16 +561,18 @@
             The reported position.
         """
         group_name = leadership.group
+        latest = self.latest(group_name)
+        if latest is None or not latest.is_same_leader(leadership):
+            return
         entry = self.position_samples.get(group_name)
-        if entry is None or entry[0] < leadership.epoch:
+        if entry is None or entry[0] != leadership.epoch:
             # Positions of an earlier primary remain valid lower bounds.
             kept = entry[1] if entry else samples.PositionSamples()
             entry = self.position_samples[group_name] = (
                 leadership.epoch,
                 kept,
             )
-        if entry[0] == leadership.epoch:
-            entry[1].record(asked_at, position)
+        entry[1].record(asked_at, position)
 
     def position_for_age(self, group, max_age_s):
         """Return the least position with which a read is recent enough.
@@ -610,6 +612,10 @@
         self._log_lease_validity("clock")
 
 
+def _work_key(leadership):
+    return leadership.group, leadership.epoch, leadership.target
+
+
 def written_revision(record):
     """Return the revision at which a record was written.
 
--- a/balsamhinge/policy/leases.py
+++ b/balsamhinge/policy/leases.py
@@ -59,6 +59,14 @@
     successor: str = ""
     revision: int = 0
 
+    def is_same_leader(self, other):
+        """Return whether another record is of this primary and epoch.
+
+        The epoch alone does not tell: where a restored store has lost a
+        change, the next one gives its epoch to another target.
+        """
+        return self.epoch == other.epoch and self.target == other.target
+
 
 @attrs.frozen
 class StoreRead:
--- a/balsamhinge/sessions/connectionloans.py
+++ b/balsamhinge/sessions/connectionloans.py
@@ -296,7 +296,10 @@
         leadership = None
         if request.epoch:
             leadership = fleet.leaders.valid_leadership(target.group)
-            if leadership is None or leadership.epoch != request.epoch:
+            if leadership is None or (
+                (leadership.epoch, leadership.target)
+                != (request.epoch, request.target)
+            ):
                 raise connections.LeaseLost("the host may not use the primary")
         deadline = clock.now() + request.patience_s
         return await self._acquire_local(
