Put a version that was given out again into force after a restore

What callers could have seen: a confirmed change of the configuration that is not in force.

Cause: a version in force is never replaced by the same number. Where the store has lost a version, an operator who edits the copy may give its number to another change.

Change: an instance that reads another configuration of the version in force, in a later incarnation of the store than the one that held its own, puts it into force, says so at level error and begins its history of changes anew, so that others get the whole of the next version. In a large fleet, instances that do not follow the store keep the other one until then.

--- a/balsamhinge/controllers/directory.py
+++ b/balsamhinge/controllers/directory.py
@@ -194,6 +194,8 @@
         # Loop seconds up to which all changes in the store are known.
         self._current_at = clock.now()
         self.table = routes.RoutingTable()
+        # Latest incarnation of the store that held the table in force.
+        self._table_read_in = 0
         self.history = routingdeltas.RoutingHistory()
         self.targets = {}
         self.targets_as_of = 0
@@ -280,6 +282,12 @@
         """
         if table is None or table.version <= self.table.version:
             return
+        self._log_activation(table, source)
+        self.history.record(self.table, table)
+        self.table = table
+        self.table_changed.set()
+
+    def _log_activation(self, table, source):
         event(
             log.notice,
             "configuration_in_force",
@@ -289,13 +297,37 @@
             source=source,
             news_age_s=self.age_s(),
         )
-        self.history.record(self.table, table)
+
+    def _replace_version(self, table):
+        """Put another configuration of the version in force into force.
+
+        The store has lost the one in force, and an operator has given its
+        version out again. Other instances may hold either of the two, so
+        the history of changes begins anew.
+        """
+        event(
+            log.error,
+            "configuration_version_reused",
+            version=table.version,
+            databases=len(
+                routingdeltas.differing_databases(self.table, table)
+            ),
+        )
+        self._log_activation(table, "store")
+        self.history = routingdeltas.RoutingHistory()
         self.table = table
         self.table_changed.set()
 
     def _merge_routes(self, follower):
+        incarnation = revisions.incarnation_of(follower.as_of)
         for record in follower.records.values():
-            self.activate_table(record.value, "store")
+            table = record.value
+            self.activate_table(table, "store")
+            if table is None or table.version != self.table.version:
+                continue
+            if incarnation > self._table_read_in and table != self.table:
+                self._replace_version(table)
+            self._table_read_in = incarnation
 
     def _merge_entries(self, follower):
         entries = [
--- a/balsamhinge/controllers/tablesync.py
+++ b/balsamhinge/controllers/tablesync.py
@@ -52,7 +52,7 @@
         )
         # Instances that fetched the version in force, most recent last.
         self._served = collections.deque(maxlen=MAX_SOURCES)
-        self._served_version = 0
+        self._served_table = None
         # Packed changes to the version in force, by earlier version.
         self._packed = {}
         self._fetching = False
@@ -196,8 +196,8 @@
             requester has the version in force.
         """
         table = self._directory.table
-        if self._served_version != table.version:
-            self._served_version = table.version
+        if self._served_table is not table:
+            self._served_table = table
             self._served.clear()
             self._packed.clear()
         sources = list(self._served)
--- a/tests/controllers/test_directory.py
+++ b/tests/controllers/test_directory.py
@@ -13,6 +13,7 @@
     "LargeFleetTest",
     "RestoreTest",
     "RestoredEntriesTest",
+    "ReusedVersionTest",
     "SilentWatchTest",
 ]
 
@@ -150,6 +151,39 @@
         self.assertLess(self.measure_in_force_s(**LARGE), IN_FORCE_S)
 
 
+class ReusedVersionTest(virtual.FleetTestCase):
+    """An operator gives a lost version of the configuration out again."""
+
+    # Guards against a confirmed change that is not in force, because another
+    # one of the same version was, which the store has lost.
+    def test_a_version_that_was_given_out_again_comes_into_force(self):
+        async def scenario(world):
+            copy = world.records.copy()
+            version = world.version
+            lost = world.configure(more=2)
+            await wait_in_force(world, lost.version)
+            world.records.knobs.down = True
+            await asyncio.sleep(1.0)
+            world.records.restore(copy)
+            world.records.knobs.down = False
+            world.version = version
+            kept = world.configure(more=1)
+            self.assertEqual(lost.version, kept.version)
+            await asyncio.sleep(IN_FORCE_S)
+            for one in world.fleets.values():
+                self.assertEqual(kept.routes, one.directory.table.routes)
+            # An instance that missed the other one gets the whole of it.
+            later = world.configure(more=1)
+            for one in world.fleets.values():
+                change = one.directory.history.delta_since(
+                    one.directory.table, version
+                )
+                self.assertEqual(0, change.base)
+            await wait_in_force(world, later.version)
+
+        self.run_fleet(scenario)
+
+
 class RestoredEntriesTest(virtual.FleetTestCase):
     """What the copy says of targets, until they have written again."""
 
