Show a restored store and outdated records to operators

The status page, its table, two gauges and the lines that explain a request tell the store's incarnation and the groups whose record is outdated. The end of that state is an event of its own, records_current; an ignored record of the duty is logged once.

--- a/balsamhinge/controllers/duty.py
+++ b/balsamhinge/controllers/duty.py
@@ -95,6 +95,8 @@
         self.may_promote_from = 0.0
         self.holder_before_restore = ""
         self._next_read = 0.0
+        # Revision of the store's record that was last found to be earlier.
+        self._ignored_revision = 0
         # Loop seconds since when the known holder is outdated, or None.
         self._outdated_since = None
 
@@ -244,7 +246,9 @@
             "store", or the instance that sent the record.
         """
         if revision <= self.revision:
-            if source == "store" and holder != self.holder:
+            ignored = source == "store" and holder != self.holder
+            if ignored and revision != self._ignored_revision:
+                self._ignored_revision = revision
                 event(
                     log.warning,
                     "duty_record_ignored",
--- a/balsamhinge/controllers/leaders.py
+++ b/balsamhinge/controllers/leaders.py
@@ -498,7 +498,7 @@
         if outdated != self.outdated_groups:
             event(
                 log.warning if outdated else log.notice,
-                "outdated_records",
+                "records_outdated" if outdated else "records_current",
                 groups=",".join(outdated),
                 as_of=revisions.describe(self.listing.as_of),
                 known=revisions.describe(self.book.last_read.as_of),
--- a/balsamhinge/ctl.py
+++ b/balsamhinge/ctl.py
@@ -53,6 +53,7 @@
     "fence",
     "knowledge_age_s",
     "leases_s",
+    "store_incarnation",
 ]
 INSTANCE_COLUMNS = [
     "name",
--- a/balsamhinge/explaining.py
+++ b/balsamhinge/explaining.py
@@ -18,8 +18,13 @@
         "leases_valid",
         "not_isolated",
         "peer_silent",
+        "records_current",
+        "records_outdated",
+        "records_restored",
+        "restoration_waits",
         "store_lost",
         "store_regained",
+        "store_restored",
         "stopping",
     }
 )
@@ -28,6 +33,7 @@
 STATE_EVENTS = (
     {"leases_lapsed", "leases_valid"},
     {"store_lost", "store_regained"},
+    {"records_outdated", "records_current"},
     {"isolated", "not_isolated"},
 )
 # Window before the first line of a request that is searched for its cause.
--- a/balsamhinge/fleetstatus.py
+++ b/balsamhinge/fleetstatus.py
@@ -33,6 +33,8 @@
         "leases_s": finite_or_none(
             leaders.book.valid_until(leaders.other_names) - now
         ),
+        "store_incarnation": fleet.store_health.incarnation,
+        "outdated_groups": list(leaders.outdated_groups),
         "instances": instance_rows(fleet),
         "groups": group_rows(fleet),
     }
--- a/balsamhinge/metrics.py
+++ b/balsamhinge/metrics.py
@@ -73,6 +73,14 @@
 LEASES_VALID = prometheus_client.Gauge(
     "balsamhinge_leases_valid", "Whether primaries may be used."
 )
+STORE_INCARNATION = prometheus_client.Gauge(
+    "balsamhinge_store_incarnation",
+    "Restores of the platform's store from an older copy, as known here.",
+)
+OUTDATED_GROUPS = prometheus_client.Gauge(
+    "balsamhinge_outdated_groups",
+    "Groups whose record the store has not held since its last restore.",
+)
 DUTY_HELD = prometheus_client.Gauge(
     "balsamhinge_duty_held", "Whether this instance changes primaries."
 )
@@ -127,6 +135,8 @@
     KNOWLEDGE_AGE_S.set(leaders.book.read_age_s(now))
     valid_until = leaders.book.valid_until(leaders.other_names)
     LEASES_VALID.set(now < valid_until)
+    STORE_INCARNATION.set(fleet.store_health.incarnation)
+    OUTDATED_GROUPS.set(len(leaders.outdated_groups))
     DUTY_HELD.set(fleet.duty.held)
     ISOLATED.set(fleet.isolated)
     INSTANCES.set(len(leaders.members))
--- a/tests/test_fleetstatus.py
+++ b/tests/test_fleetstatus.py
@@ -10,6 +10,8 @@
 
 __all__ = ["StatusTest"]
 
+POLL_INTERVAL_S = 0.01
+
 
 class StatusTest(virtual.FleetTestCase):
     """The state that one instance reports."""
@@ -46,3 +48,26 @@
             self.assertEqual("silent", states["north-1"])
 
         self.run_fleet(scenario)
+
+    # Guards against a restored store that operators cannot tell from one
+    # that is merely away.
+    def test_a_restored_store_is_shown(self):
+        async def scenario(world):
+            copy = world.records.copy()
+            holder = world.holder()
+            world.records.knobs.cut.add(holder.me.name)
+            await world.restore_store(copy)
+            name = next(one for one in world.fleets if one != holder.me.name)
+            fleet = world.fleets[name]
+            while not fleet.leaders.outdated_groups:
+                await asyncio.sleep(POLL_INTERVAL_S)
+            status = fleetstatus.describe(fleet)
+            self.assertEqual(1, status["store_incarnation"])
+            self.assertEqual([world.group.name], status["outdated_groups"])
+            while fleet.leaders.outdated_groups:
+                await asyncio.sleep(POLL_INTERVAL_S)
+            self.assertEqual(
+                [], fleetstatus.describe(fleet)["outdated_groups"]
+            )
+
+        self.run_fleet(scenario)
