Write operators' edits again to a store that has lost them

What operators would have seen on the edge for HTTP and PostgreSQL: an edit that is accepted and not in force anywhere, since the restored store gave it a lower version than the one in force; or an edit of the copy that undoes the lost ones without a word.

Change: an instance that is asked for an edit and finds a lower version in the store than the one in force writes the text in force again until it has its version, and an edit that was made since the restore until it has a higher one; then the edit is checked against its base as always. Open: the platform's list of instances on that edge is not written by us; a lower version of it is ignored until the old one is passed.

--- a/balsamhinge/controllers/configuration.py
+++ b/balsamhinge/controllers/configuration.py
@@ -121,6 +121,8 @@
         """
         parsed = parsing.parse_plan(text)
         current = await self._current()
+        if current.version < self.version:
+            current = await self._write_again(current)
         if current.version != base:
             raise exceptions.StoreConflict(
                 f"version {base} is not the current one, {current.version}"
@@ -140,6 +142,44 @@
             return AcceptedEdit(0, None)
         return AcceptedEdit(stored.version, decode_configuration(stored))
 
+    async def _write_again(self, current):
+        """Write a configuration to a store that has lost the one in force.
+
+        A store that was restored from an older copy counts versions from
+        there. A lower version than the one in force is put into force by no
+        instance, so the text is written until its version is high enough. An
+        edit that was made since the restore replaces the lost ones.
+
+        Parameters
+        ----------
+        current : AcceptedEdit
+            The edit that the store holds.
+
+        Returns
+        -------
+        AcceptedEdit
+            The edit that the store holds now.
+        """
+        lost = current.text is None or (
+            self.text.includes(current.text.edit_id)
+        )
+        text = self.text if lost else current.text
+        version = self.version if lost else self.version + 1
+        event(
+            log.warning,
+            "configuration_lost",
+            stored=current.version,
+            version=self.version,
+            edited_since=not lost,
+        )
+        value = msgspec.json.encode(text)
+        while current.version < version:
+            stored = await self._store.put(
+                interfaces.CONFIGURATION_KEY, value, current.version
+            )
+            current = AcceptedEdit(stored.version, text)
+        return current
+
     async def _write(self, edit, base):
         value = msgspec.json.encode(edit)
         last_failure = None
--- a/tests/controllers/test_restoration.py
+++ b/tests/controllers/test_restoration.py
@@ -21,6 +21,8 @@
 POLL_INTERVAL_S = 0.002
 # Time to try the store again after an outage, and to register.
 REREGISTRATION_S = 0.45
+# Calls to the store with which an instance finds out about a restore.
+CALLS_PER_INSTANCE = 5
 # Moment of an outage at which the holder dies.
 DEATH_S = 1.0
 # Time in which another instance succeeds a dead holder and completes the
@@ -57,6 +59,20 @@
 
         self.run_fleet(scenario)
 
+    # The same where a few instances read the store for all, and with few
+    # calls: each instance reads the records once in the new incarnation.
+    def test_leases_of_a_large_fleet_are_renewed_after_a_restore(self):
+        async def scenario(world):
+            await self.lose_changes(world)
+            calls = world.records.calls
+            await asyncio.sleep(REREGISTRATION_S)
+            max_calls = CALLS_PER_INSTANCE * len(world.members)
+            self.assertLess(world.records.calls - calls, max_calls)
+            await asyncio.sleep(LEASE_END_S)
+            self.assert_serving(world)
+
+        self.run_fleet(scenario, instances=7)
+
     # Guards against requests that wait until the records are written again,
     # though the leases from before the restore still hold.
     def test_leases_hold_while_records_are_written_again(self):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,3 +13,10 @@
             outcome = soak.play(seed)
             self.assertEqual([], outcome.broken, f"seed {seed}")
             self.assertGreater(len(outcome.asks), 1000)
+
+    # The store also comes back from older copies.
+    def test_seeds_with_restores(self):
+        for seed in (2, 11):
+            outcome = soak.play(seed, restores=True)
+            self.assertEqual([], outcome.broken, f"seed {seed}")
+            self.assertGreater(len(outcome.asks), 1000)
