Date a restore of the store from the first instance that learns of it

Change: gossip messages tell the latest incarnation and for how long it is known, which also ends the entitlement of a holder that does not reach the store. The test failed before. Three optional fields are new in the message by now; the test of encodings names them.

--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -355,6 +355,8 @@
             holder=fleet.duty.holder,
             holder_revision=fleet.duty.revision,
             receiver_listed_in=leaders.registrations.listed_in(receiver),
+            store_incarnation=fleet.store_health.incarnation,
+            restored_s=fleet.store_health.restored_s(now),
         )
 
     def _promise_of_all_s(self, receiver, now):
@@ -466,7 +468,10 @@
         self.last_contact_at[message.sender] = clock.now()
         self.last_messages[message.sender] = message
         self._peer_as_of[message.sender] = message.as_of
-        self._fleet.store_health.record_revision(message.as_of)
+        self._fleet.store_health.record_restore(
+            message.store_incarnation,
+            self._fleet.dependencies.boot_time() - message.restored_s,
+        )
         if message.stamp is not None:
             self._stamps[message.sender] = message.stamp
             self._record_process(message)
--- a/balsamhinge/controllers/storehealth.py
+++ b/balsamhinge/controllers/storehealth.py
@@ -33,8 +33,9 @@
     incarnation : int
         Latest incarnation of the store that this instance knows of.
     restored_at : float
-        Boot-clock seconds at which it learned of that incarnation; minus
-        infinite for a store that was never restored.
+        Boot-clock seconds at which the first instance, as far as is known,
+        learned of that incarnation; minus infinite for a store that was
+        never restored.
     """
 
     def __init__(self, boot_time):
@@ -54,7 +55,9 @@
         revision : int
             Revision of the store in the answer.
         """
-        self.record_revision(revision)
+        self.record_restore(
+            revisions.incarnation_of(revision), self._boot_time()
+        )
         now = clock.now()
         if self.failing:
             self.failing = False
@@ -68,9 +71,18 @@
             self.failing = True
             event(log.warning, "store_lost", error=exc)
 
-    def record_revision(self, revision):
-        """Record a revision of the store, of which a peer may have told."""
-        incarnation = revisions.incarnation_of(revision)
+    def record_restore(self, incarnation, at):
+        """Record that the store had begun an incarnation before a time.
+
+        Parameters
+        ----------
+        incarnation : int
+            Incarnation of the store, of which a peer may have told.
+        at : float
+            Boot-clock seconds.
+        """
+        if incarnation == self.incarnation:
+            self.restored_at = min(self.restored_at, at)
         if incarnation <= self.incarnation:
             return
         event(
@@ -78,8 +90,17 @@
             "store_restored",
             incarnation=incarnation,
             earlier=self.incarnation,
-            as_of=revisions.describe(revision),
         )
         self.incarnation = incarnation
-        self.restored_at = self._boot_time()
+        self.restored_at = at
         self.restores.notify_all()
+
+    def restored_s(self, now):
+        """Return the seconds since the last restore; 0 if there was none.
+
+        Parameters
+        ----------
+        now : float
+            Boot-clock seconds.
+        """
+        return max(0.0, now - self.restored_at) if self.incarnation else 0.0
--- a/balsamhinge/policy/gossipmessages.py
+++ b/balsamhinge/policy/gossipmessages.py
@@ -118,6 +118,10 @@
     receiver_listed_in : int
         Incarnation of the store in which the sender has last read the
         receiver's registration; -1 for none.
+    store_incarnation : int
+        Latest incarnation of the store that the sender knows of.
+    restored_s : float
+        Seconds since the sender has learned of that incarnation.
     """
 
     sender: str
@@ -143,3 +147,5 @@
     holder: str = ""
     holder_revision: int = 0
     receiver_listed_in: int = -1
+    store_incarnation: int = 0
+    restored_s: float = 0.0
--- a/tests/controllers/test_restoration.py
+++ b/tests/controllers/test_restoration.py
@@ -23,6 +23,8 @@
 REREGISTRATION_S = 0.45
 # Calls to the store with which an instance finds out about a restore.
 CALLS_PER_INSTANCE = 5
+# Time that a gossip message takes at most.
+GOSSIP_DELAY_S = 0.01
 # Moment of an outage at which the holder dies.
 DEATH_S = 1.0
 # Time in which another instance succeeds a dead holder and completes the
@@ -245,6 +247,23 @@
 
         self.run_fleet(scenario)
 
+    # Guards against waits for what an instance can have done, dated from when
+    # the new holder happens to ask the store.
+    def test_the_first_to_learn_of_a_restore_dates_it_for_all(self):
+        async def scenario(world):
+            holder = world.holder().me.name
+            name = next(one for one in world.fleets if one != holder)
+            world.records.knobs.cut.add(name)
+            await world.restore_store(world.records.copy())
+            await asyncio.sleep(FOUND_OUT_S)
+            restored_at = [
+                one.store_health.restored_at for one in world.fleets.values()
+            ]
+            spread_s = max(restored_at) - min(restored_at)
+            self.assertLess(spread_s, GOSSIP_DELAY_S)
+
+        self.run_fleet(scenario)
+
     # Guards against leases that lapse for as long as a dead holder might
     # still promote a target, though it had promised not to.
     def test_a_holder_that_dies_during_the_outage_delays_little(self):
--- a/tests/test_encodings.py
+++ b/tests/test_encodings.py
@@ -43,7 +43,13 @@
 }
 # Fields that the examples lack, as a later release has added them, and the
 # values that stand for a sender which does not know them.
-ADDED_FIELDS = {"note": {"receiver_listed_in": -1}}
+ADDED_FIELDS = {
+    "note": {
+        "receiver_listed_in": -1,
+        "restored_s": 0.0,
+        "store_incarnation": 0,
+    }
+}
 RECORD_TYPES = {
     "text_version": interfaces.ConfigurationVersion,
     "platform_list": interfaces.PlatformInventory,
