Tell lost records to those with later knowledge, and end outdated ones

What callers could have seen: an instance that alone remembers a lost record extends no lease by its own reads, as nobody else writes the record again; an instance of a large fleet shows outdated records for good.

Cause: gossip sends records that are later than the revision the receiver knows, and a lost record is earlier than any revision since the restore. Outdated records were determined by own reads only, which most instances of a large fleet do not make.

Change: messages carry the leaderships of outdated groups whatever the receiver knows; a later read of a peer on which leases rest ends the state.

--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -324,6 +324,7 @@
             leadership
             for leadership in leaders.book.leaderships.values()
             if leadership.revision > peer_as_of
+            or leadership.group in leaders.outdated_groups
         ]
         knowledge = leaders.book.last_read
         return gossipmessages.GossipMessage(
--- a/balsamhinge/controllers/leaders.py
+++ b/balsamhinge/controllers/leaders.py
@@ -365,6 +365,9 @@
         incarnation = revisions.incarnation_of(knowledge.as_of)
         if ignored or incarnation > self.registrations.confirmed_in:
             return
+        if knowledge.as_of > self.listing.as_of:
+            # Leases rest only on reads in which no record is outdated.
+            self._set_outdated_groups([])
         if self.book.merge_store_read(knowledge):
             self._log_lease_validity(source)
 
@@ -474,36 +477,43 @@
         self.duty_record = listing.records.get(DUTY_KEY)
         self.challenge_record = listing.records.get(CHALLENGE_KEY)
         self.duty_read_at = asked_at
-        self._set_outdated_groups(listed_at)
+        self._set_outdated_groups(self._find_outdated_groups(listed_at))
         if not self.outdated_groups:
             self.merge_store_read(
                 leases.StoreRead(listing.as_of, asked_at), "store"
             )
         self.listing_merged()
 
-    def _set_outdated_groups(self, listed_at):
-        """Determine which records the store lacks since its last restore.
+    def _find_outdated_groups(self, listed_at):
+        """Return the groups whose record the latest read lacks.
 
         Parameters
         ----------
         listed_at : dict of str to int
             Revisions at which the listed records were written, by group.
+
+        Returns
+        -------
+        list of str
         """
         incarnation = revisions.incarnation_of(self.listing.as_of)
-        outdated = sorted(
+        return sorted(
             group
             for group in listed_at.keys() | self.book.leaderships.keys()
             if revisions.incarnation_of(listed_at.get(group, 0)) < incarnation
         )
-        if outdated != self.outdated_groups:
-            event(
-                log.warning if outdated else log.notice,
-                "records_outdated" if outdated else "records_current",
-                groups=",".join(outdated),
-                as_of=revisions.describe(self.listing.as_of),
-                known=revisions.describe(self.book.last_read.as_of),
-            )
-        self.outdated_groups = outdated
+
+    def _set_outdated_groups(self, groups):
+        if groups == self.outdated_groups:
+            return
+        event(
+            log.warning if groups else log.notice,
+            "records_outdated" if groups else "records_current",
+            groups=",".join(groups),
+            as_of=revisions.describe(self.listing.as_of),
+            known=revisions.describe(self.book.last_read.as_of),
+        )
+        self.outdated_groups = groups
 
     async def put_record(self, name, value, revision):
         """Create or replace a record of the kind `interfaces.LEADERS`.
--- a/tests/controllers/test_restoration.py
+++ b/tests/controllers/test_restoration.py
@@ -9,7 +9,13 @@
 from balsamhinge.policy import leases
 from tests.support import virtual
 
-__all__ = ["ChangesTest", "DutyTest", "LeasesTest", "RegistrationsTest"]
+__all__ = [
+    "ChangesTest",
+    "DutyTest",
+    "LeasesTest",
+    "OutdatedRecordsTest",
+    "RegistrationsTest",
+]
 
 # Changes of the configuration that the copy lacks.
 LOST_CHANGES = 12
@@ -154,6 +160,47 @@
         self.run_fleet(scenario)
 
 
+class OutdatedRecordsTest(virtual.FleetTestCase):
+    """What instances tell each other of records that the store has lost."""
+
+    def lose_record(self, world):
+        """Return a copy of the store that lacks the record of a group."""
+        copy = world.records.copy()
+        del copy.kinds[interfaces.LEADERS][leaders.group_key("ladder-1")]
+        return copy
+
+    # Guards against a record that the holder does not know and nobody writes
+    # again: it is earlier than the revision up to which the holder knows all.
+    def test_a_lost_record_is_told_to_those_with_later_knowledge(self):
+        async def scenario(world):
+            copy = self.lose_record(world)
+            holder = world.holder().me.name
+            world.records.knobs.cut.add(holder)
+            await world.restore_store(copy)
+            one = next(
+                one for name, one in world.fleets.items() if name != holder
+            )
+            while not one.leaders.outdated_groups:
+                await asyncio.sleep(POLL_INTERVAL_S)
+            one.gossip._peer_as_of[holder] = one.leaders.listing.as_of
+            message = one.gossip.build_message(holder)
+            told = [leadership.group for leadership in message.leaderships]
+            self.assertEqual(["ladder-1"], told)
+
+        self.run_fleet(scenario)
+
+    # Guards against records that count as outdated for good at instances
+    # which learn of later reads by gossip only.
+    def test_a_read_of_a_peer_ends_outdated_records(self):
+        async def scenario(world):
+            await world.restore_store(self.lose_record(world))
+            await asyncio.sleep(FOUND_OUT_S)
+            for one in world.fleets.values():
+                self.assertEqual([], one.leaders.outdated_groups)
+
+        self.run_fleet(scenario, instances=7)
+
+
 class DutyTest(virtual.FleetTestCase):
     """The promotion duty, whose latest record the copy lacks."""
 
