--- a/balsamhinge/controllers/duty.py
+++ b/balsamhinge/controllers/duty.py
@@ -5,7 +5,7 @@
 import logbook
 
 from balsamhinge.controllers import clock
-from balsamhinge.controllers import leaders as leaders_module
+from balsamhinge.controllers import storedrecords
 from balsamhinge import exceptions
 from balsamhinge import interfaces
 from balsamhinge.logs import event
@@ -123,7 +123,7 @@
         record = leaders.duty_record
         if not self.held or self.is_outdated or record is None:
             return False
-        if leaders_module.written_revision(record) != self.fence:
+        if storedrecords.written_revision(record) != self.fence:
             return False
         now = self._fleet.dependencies.boot_time()
         return now - leaders.duty_read_at < ENTITLEMENT_S
@@ -185,7 +185,7 @@
         names = self._fleet.gossip.live_names()
         ranked = ownership.rank_members(
             [ownership.Member(name, "", "") for name in names],
-            leaders_module.DUTY_KEY,
+            storedrecords.DUTY_KEY,
         )
         ranked_names = [member.name for member in ranked]
         if self._fleet.me.name not in ranked_names:
@@ -223,7 +223,7 @@
         record = self._fleet.leaders.duty_record
         if record is None:
             return
-        revision = leaders_module.written_revision(record)
+        revision = storedrecords.written_revision(record)
         self.merge_holder(record.value["holder"], revision, "store")
         if self.held and self.revision == revision != self.fence:
             # Acquired by an earlier process of this instance, or by a call
@@ -349,7 +349,7 @@
         challenge = leaders.challenge_record
         if challenge is None or challenge.value["fence"] != self.revision:
             challenge = await leaders.put_record(
-                leaders_module.CHALLENGE_KEY,
+                storedrecords.CHALLENGE_KEY,
                 {"fence": self.revision, "challenger": self._fleet.me.name},
                 challenge.revision if challenge else 0,
             )
@@ -370,7 +370,7 @@
             return
         await self._fleet.leaders.store.delete(
             interfaces.LEADERS,
-            leaders_module.CHALLENGE_KEY,
+            storedrecords.CHALLENGE_KEY,
             challenge.revision,
         )
         event(
@@ -394,7 +394,7 @@
         earlier = leaders.duty_record
         asked_at = self._fleet.dependencies.boot_time()
         record = await leaders.put_record(
-            leaders_module.DUTY_KEY,
+            storedrecords.DUTY_KEY,
             {"holder": self._fleet.me.name},
             earlier.revision if earlier else 0,
         )
--- a/balsamhinge/controllers/failover.py
+++ b/balsamhinge/controllers/failover.py
@@ -7,7 +7,7 @@
 import logbook
 
 from balsamhinge.controllers import clock
-from balsamhinge.controllers import leaders as leaders_module
+from balsamhinge.controllers import storedrecords
 from balsamhinge import exceptions
 from balsamhinge import interfaces
 from balsamhinge.logs import event
@@ -314,8 +314,8 @@
             The record with its revision in the store.
         """
         record = await self._fleet.leaders.put_record(
-            leaders_module.group_key(leadership.group),
-            leaders_module.record_value(leadership),
+            storedrecords.group_key(leadership.group),
+            storedrecords.record_value(leadership),
             revision,
         )
         stored = attrs.evolve(leadership, revision=record.revision)
@@ -637,7 +637,7 @@
             fleet.spawn(self._deregister(member.name))
 
     async def _deregister(self, name):
-        key = leaders_module.member_key(name)
+        key = storedrecords.member_key(name)
         record = self._fleet.leaders.listing.records.get(key)
         if record is None:
             return
--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -4,7 +4,6 @@
 import random
 import secrets
 
-import attrs
 import logbook
 
 from balsamhinge.controllers import clock
@@ -13,6 +12,7 @@
 from balsamhinge.policy import gossipmessages
 from balsamhinge.policy import leases
 from balsamhinge.policy import ownership
+from balsamhinge.policy import peerpromises
 from balsamhinge.policy import revisions
 
 __all__ = ["GossipController"]
@@ -62,34 +62,6 @@
 log = logbook.Logger(__name__)
 
 
-@attrs.define
-class _PeerPromise:
-    """Until when a process of another instance begins no primary change.
-
-    Parameters
-    ----------
-    process : int
-        Identifier of the process, see `MessageTimestamp`.
-    earlier_until : float
-        Boot-clock seconds until which the process before it had promised.
-    until : float
-        Boot-clock seconds until which it has promised itself.
-    knows_changes : bool
-        Whether it has told of a read of the store, and so of all changes of
-        the process before it.
-    """
-
-    process: int
-    earlier_until: float
-    until: float = float("-inf")
-    knows_changes: bool = False
-
-    @property
-    def instance_until(self):
-        """Boot-clock seconds until which neither process begins a change."""
-        return self.until if self.knows_changes else self.earlier_until
-
-
 class GossipController:
     """Exchanges gossip messages with other instances.
 
@@ -110,6 +82,8 @@
         Loop seconds of the last reply from another data centre.
     remote_failures : int
         Failed exchanges with other data centres since that reply.
+    promises : PeerPromises
+        Promises of other instances to begin no change of a primary.
     """
 
     def __init__(self, fleet):
@@ -127,7 +101,7 @@
         self._peer_as_of = {}
         self._process = secrets.randbits(53)
         self._stamps = {}
-        self._promises = {}
+        self.promises = peerpromises.PeerPromises()
 
     async def run(self):
         """Start a gossip round at each interval."""
@@ -375,16 +349,6 @@
         until = fleet.leaders.book.promises_valid_until(others)
         return max(0.0, min(fleet.duty.promise_s(), until - now))
 
-    def _record_process(self, message):
-        """Record which process of an instance has sent a message."""
-        process = message.stamp.process
-        promise = self._promises.get(message.sender)
-        if promise is None or promise.process != process:
-            earlier = promise.instance_until if promise else float("-inf")
-            promise = _PeerPromise(process, earlier)
-            self._promises[message.sender] = promise
-        promise.knows_changes |= bool(message.as_of)
-
     def _merge_promise(self, message, written_after):
         """Record the promise in a message.
 
@@ -399,23 +363,7 @@
             return
         until = written_after + message.promise_s
         self._fleet.leaders.merge_promise(message.sender, until)
-        promise = self._promises.get(message.sender)
-        if promise is not None:
-            promise.until = max(promise.until, until)
-
-    def promised_until(self, name):
-        """Return until when an instance begins no primary change.
-
-        Rests only on messages of the instance itself, and counts its earlier
-        processes.
-
-        Returns
-        -------
-        float
-            Boot-clock seconds; minus infinite if it has never promised.
-        """
-        promise = self._promises.get(name)
-        return promise.instance_until if promise else float("-inf")
+        self.promises.record(message.sender, until)
 
     def _merge_echoed_promise(self, message):
         """Record the promise of a message that is not a reply.
@@ -475,7 +423,9 @@
         )
         if message.stamp is not None:
             self._stamps[message.sender] = message.stamp
-            self._record_process(message)
+            self.promises.record_process(
+                message.sender, message.stamp.process, bool(message.as_of)
+            )
         self._merge_echoed_promise(message)
         for leadership in message.leaderships:
             self._fleet.leaders.merge_leadership(leadership, message.sender)
--- a/balsamhinge/controllers/leaders.py
+++ b/balsamhinge/controllers/leaders.py
@@ -5,27 +5,18 @@
 import logbook
 
 from balsamhinge.controllers import clock
+from balsamhinge.controllers import storedrecords
 from balsamhinge import exceptions
 from balsamhinge import interfaces
 from balsamhinge.logs import event
-from balsamhinge.policy import gossipmessages
 from balsamhinge.policy import leases
-from balsamhinge.policy import ownership
 from balsamhinge.policy import positions
 from balsamhinge.policy import registrations
 from balsamhinge.policy import revisions
 from balsamhinge.policy import samples
 
-__all__ = ["LeadersController", "group_key", "member_key", "written_revision"]
+__all__ = ["LeadersController"]
 
-# All records have the same kind, so that one call reads them all.
-GROUP_PREFIX = "group."
-MEMBER_PREFIX = "member."
-DUTY_KEY = "duty"
-CHALLENGE_KEY = "duty-challenge"
-# Field of each record: the incarnation of the store in which it was written.
-# After a restore it tells the records of the copy from later ones.
-INCARNATION_FIELD = "incarnation"
 # Time for which work at the old primary may go on in an orderly change.
 ORDERLY_GRACE_S = 0.5
 # Instances that one log line names.
@@ -34,16 +25,6 @@
 log = logbook.Logger(__name__)
 
 
-def group_key(group):
-    """Return the name of a group's leadership record in the store."""
-    return f"{GROUP_PREFIX}{group}"
-
-
-def member_key(name):
-    """Return the name of an instance's member record in the store."""
-    return f"{MEMBER_PREFIX}{name}"
-
-
 class LeadersController:
     """Tracks leaderships, leases and this instance's work at primaries.
 
@@ -457,12 +438,12 @@
         member_records = {}
         listed_at = {}
         for record in listing.records.values():
-            if record.name.startswith(GROUP_PREFIX):
-                leadership = decode_leadership(record)
+            if record.name.startswith(storedrecords.GROUP_PREFIX):
+                leadership = storedrecords.decode_leadership(record)
                 listed_at[leadership.group] = leadership.revision
                 self.merge_leadership(leadership, "store")
-            elif record.name.startswith(MEMBER_PREFIX):
-                member_record = decode_member(record)
+            elif record.name.startswith(storedrecords.MEMBER_PREFIX):
+                member_record = storedrecords.decode_member(record)
                 member_records[member_record.member.name] = member_record
         if listing.as_of < self.listing.as_of:
             # Another task has received a later read meanwhile.
@@ -474,8 +455,10 @@
                 revisions.incarnation_of(listing.as_of),
                 asked_at,
             )
-        self.duty_record = listing.records.get(DUTY_KEY)
-        self.challenge_record = listing.records.get(CHALLENGE_KEY)
+        self.duty_record = listing.records.get(storedrecords.DUTY_KEY)
+        self.challenge_record = listing.records.get(
+            storedrecords.CHALLENGE_KEY
+        )
         self.duty_read_at = asked_at
         self._set_outdated_groups(self._find_outdated_groups(listed_at))
         if not self.outdated_groups:
@@ -540,7 +523,7 @@
             If the store does not answer.
         """
         incarnation = revisions.incarnation_of(self.listing.as_of)
-        value = value | {INCARNATION_FIELD: incarnation}
+        value = value | {storedrecords.INCARNATION_FIELD: incarnation}
         if not revision:
             record = await self.store.create(interfaces.LEADERS, name, value)
         else:
@@ -624,52 +607,3 @@
 
 def _work_key(leadership):
     return leadership.group, leadership.epoch, leadership.target
-
-
-def written_revision(record):
-    """Return the revision at which a record was written.
-
-    A record that the store has kept through a restore was written in an
-    earlier incarnation than the one in which it is read. Records of a
-    release that does not write the incarnation count as current.
-    """
-    incarnation = record.value.get(INCARNATION_FIELD)
-    if incarnation is None:
-        return record.revision
-    return revisions.compose(incarnation, revisions.number_of(record.revision))
-
-
-def decode_leadership(record):
-    """Return the `Leadership` in a record of the store."""
-    value = record.value
-    return leases.Leadership(
-        group=record.name.removeprefix(GROUP_PREFIX),
-        target=value["target"],
-        epoch=value["epoch"],
-        changing=value["changing"],
-        orderly=value["orderly"],
-        successor=value.get("successor", ""),
-        revision=written_revision(record),
-    )
-
-
-def decode_member(record):
-    """Return the `MemberRecord` in a record of the store."""
-    value = record.value
-    member = ownership.Member(
-        record.name.removeprefix(MEMBER_PREFIX),
-        value["address"],
-        value["data_centre"],
-    )
-    return gossipmessages.MemberRecord(member, written_revision(record))
-
-
-def record_value(leadership):
-    """Return the value to store for a leadership."""
-    return {
-        "target": leadership.target,
-        "epoch": leadership.epoch,
-        "changing": leadership.changing,
-        "orderly": leadership.orderly,
-        "successor": leadership.successor,
-    }
--- a/balsamhinge/controllers/restoration.py
+++ b/balsamhinge/controllers/restoration.py
@@ -8,7 +8,7 @@
 from balsamhinge.controllers import clock
 from balsamhinge.controllers import duty
 from balsamhinge.controllers import failover
-from balsamhinge.controllers import leaders as leaders_module
+from balsamhinge.controllers import storedrecords
 from balsamhinge import exceptions
 from balsamhinge.logs import event
 from balsamhinge.policy import failoverrules
@@ -122,7 +122,9 @@
         last_holder = fleet.duty.holder_before_restore
         if fleet.duty.knows_last_holder() and name != last_holder:
             return False
-        promised_at = fleet.gossip.promised_until(name) - leases.PROMISE_S
+        promised_at = (
+            fleet.gossip.promises.valid_until(name) - leases.PROMISE_S
+        )
         restored_at = fleet.store_health.restored_at
         return promised_at + leases.LEASE_S <= restored_at
 
@@ -180,10 +182,10 @@
         leadership = leaders.latest(group)
         if contradicted:
             leadership = attrs.evolve(leadership, changing=True)
-        listed = leaders.listing.records.get(leaders_module.group_key(group))
+        listed = leaders.listing.records.get(storedrecords.group_key(group))
         record = await leaders.put_record(
-            leaders_module.group_key(group),
-            leaders_module.record_value(leadership),
+            storedrecords.group_key(group),
+            storedrecords.record_value(leadership),
             listed.revision if listed else 0,
         )
         leaders.merge_leadership(
--- a/balsamhinge/fleet.py
+++ b/balsamhinge/fleet.py
@@ -14,6 +14,7 @@
 from balsamhinge.controllers import leaders
 from balsamhinge.controllers import restoration
 from balsamhinge.controllers import sampling
+from balsamhinge.controllers import storedrecords
 from balsamhinge.controllers import storehealth
 from balsamhinge.controllers import tablesync
 from balsamhinge.controllers import targetpools
@@ -271,7 +272,7 @@
         await self.leaders.read()
         if self.registered:
             return
-        key = leaders.member_key(self.me.name)
+        key = storedrecords.member_key(self.me.name)
         listed = self.leaders.listing.records.get(key)
         if listed is not None:
             await self.leaders.put_record(key, value, listed.revision)
--- a/tests/controllers/test_duty.py
+++ b/tests/controllers/test_duty.py
@@ -4,7 +4,7 @@
 
 from balsamhinge.controllers import clock
 from balsamhinge.controllers import duty
-from balsamhinge.controllers import leaders
+from balsamhinge.controllers import storedrecords
 from balsamhinge import interfaces
 from balsamhinge.policy import ownership
 from tests.support import virtual
@@ -31,10 +31,12 @@
             world.records.knobs.answer_change_s = ANSWER_DELAY_S
             old.stopping = True
             stored = world.records.kinds[interfaces.LEADERS]
-            while stored[leaders.DUTY_KEY].value["holder"] == old.me.name:
+            while (
+                stored[storedrecords.DUTY_KEY].value["holder"] == old.me.name
+            ):
                 await asyncio.sleep(POLL_INTERVAL_S)
             changed_at = clock.now()
-            new = world.fleets[stored[leaders.DUTY_KEY].value["holder"]]
+            new = world.fleets[stored[storedrecords.DUTY_KEY].value["holder"]]
             # Without the store its entitlement rests on that write only.
             world.records.knobs.cut.add(new.me.name)
             while not new.duty.may_promote():
@@ -55,7 +57,7 @@
             change.record.value["holder"]
             for _revision, kind, change in world.records._history
             if kind == interfaces.LEADERS
-            and change.record.name == leaders.DUTY_KEY
+            and change.record.name == storedrecords.DUTY_KEY
         ]
 
     def isolate(self, world, name):
@@ -127,7 +129,7 @@
         async def scenario(world):
             holder = world.holder().me
             others = [member for member in world.members if member != holder]
-            first = ownership.rank_members(others, leaders.DUTY_KEY)[0]
+            first = ownership.rank_members(others, storedrecords.DUTY_KEY)[0]
             world.cuts.add(frozenset((holder.name, first.name)))
             await asyncio.sleep(SUCCESSION_S)
             self.assertEqual([holder.name], self.list_holders(world))
--- a/tests/controllers/test_restoration.py
+++ b/tests/controllers/test_restoration.py
@@ -4,7 +4,7 @@
 
 from balsamhinge.controllers import clock
 from balsamhinge.controllers import duty
-from balsamhinge.controllers import leaders
+from balsamhinge.controllers import storedrecords
 from balsamhinge import interfaces
 from balsamhinge.policy import leases
 from tests.support import virtual
@@ -166,7 +166,7 @@
     def lose_record(self, world):
         """Return a copy of the store that lacks the record of a group."""
         copy = world.records.copy()
-        del copy.kinds[interfaces.LEADERS][leaders.group_key("ladder-1")]
+        del copy.kinds[interfaces.LEADERS][storedrecords.group_key("ladder-1")]
         return copy
 
     # Guards against a record that the holder does not know and nobody writes
@@ -207,7 +207,7 @@
     def stored_duty(self, world):
         """Return the store's record of the holder, or None."""
         stored = world.records.kinds[interfaces.LEADERS]
-        return stored.get(leaders.DUTY_KEY)
+        return stored.get(storedrecords.DUTY_KEY)
 
     async def succeed_holder(self, world):
         """Restart the holder after another instance has succeeded it.
@@ -247,7 +247,7 @@
         async def scenario(world):
             holder = world.holder().me.name
             copy = world.records.copy()
-            del copy.kinds[interfaces.LEADERS][leaders.DUTY_KEY]
+            del copy.kinds[interfaces.LEADERS][storedrecords.DUTY_KEY]
             await world.restore_store(copy)
             self.assertFalse(world.fleets[holder].duty.is_confirmed())
             await asyncio.sleep(FOUND_OUT_S)
@@ -336,7 +336,9 @@
         holder = world.holder().me
         member = next(one for one in world.members if one != holder)
         copy = world.records.copy()
-        del copy.kinds[interfaces.LEADERS][leaders.member_key(member.name)]
+        del copy.kinds[interfaces.LEADERS][
+            storedrecords.member_key(member.name)
+        ]
         return copy, member.name
 
     def cut_off(self, world, name):
@@ -384,7 +386,7 @@
             unregistered = world.fleets[name].leaders
             while clock.now() < until:
                 stored = world.records.kinds[interfaces.LEADERS]
-                self.assertNotIn(leaders.member_key(name), stored)
+                self.assertNotIn(storedrecords.member_key(name), stored)
                 if name not in world.holder().leaders.members:
                     found = unregistered.valid_leadership(world.group.name)
                     self.assertIsNone(found)
--- a/tests/test_encodings.py
+++ b/tests/test_encodings.py
@@ -12,8 +12,8 @@
 import msgspec
 import testtools
 
-from balsamhinge.controllers import leaders
 from balsamhinge.controllers import promotions
+from balsamhinge.controllers import storedrecords
 from balsamhinge.filters import execution
 from balsamhinge import interfaces
 from balsamhinge.policy import gossipmessages
@@ -120,15 +120,17 @@
     def test_leaderships_and_members_are_stored_as_before(self):
         example = EXAMPLES["leadership"]
         record = interfaces.Record(example["name"], 17, example["value"])
-        leadership = leaders.decode_leadership(record)
+        leadership = storedrecords.decode_leadership(record)
         self.assertEqual(
             ("ladder", "ladder-2", 4, True, True, "ladder-3", 17),
             attrs.astuple(leadership),
         )
-        self.assertEqual(example["value"], leaders.record_value(leadership))
+        self.assertEqual(
+            example["value"], storedrecords.record_value(leadership)
+        )
         example = EXAMPLES["member"]
         record = interfaces.Record(example["name"], 18, example["value"])
-        member = leaders.decode_member(record).member
+        member = storedrecords.decode_member(record).member
         self.assertEqual(
             ("howrah-1", "10.0.0.1:7001", "howrah", False),
             attrs.astuple(member),
@@ -139,10 +141,10 @@
         keys = [
             interfaces.CONFIGURATION_KEY,
             interfaces.INSTANCES_KEY,
-            leaders.DUTY_KEY,
+            storedrecords.DUTY_KEY,
             promotions.group_key("ladder"),
-            leaders.group_key("ladder"),
-            leaders.member_key("howrah-1"),
+            storedrecords.group_key("ladder"),
+            storedrecords.member_key("howrah-1"),
             execution.commit_id("ladder", "t-1"),
         ]
         self.assertEqual(EXAMPLES["keys"], keys)
