Ask nobody where the holder has kept the duty, and remember who held it

What callers saw: leases that stayed lapsed for 0.35 s longer, while the holder waited for an instance that was cut off, though every change that can have taken effect was its own. At 195 instances it would also have asked each of them.

What they could have seen, found by reading: stale reads, if the holder of the duty died between acquiring it anew and writing the records. Its successor took the dead holder for the last one, and did not wait for the one that may have promoted a target before the restore. The last holder before a restore is now remembered by every instance that learns of a later one.

Both tests failed before.

--- a/balsamhinge/controllers/duty.py
+++ b/balsamhinge/controllers/duty.py
@@ -267,6 +267,12 @@
                 fence=revisions.describe(revision),
                 source=source,
             )
+        self._replace_holder(holder, revision)
+
+    def _replace_holder(self, holder, revision):
+        known_in = revisions.incarnation_of(self.revision)
+        if revisions.incarnation_of(revision) > known_in:
+            self.holder_before_restore = self.holder
         self.holder = holder
         self.revision = revision
 
@@ -404,11 +410,8 @@
         leaders.duty_record = record
         leaders.duty_read_at = asked_at
         self.may_promote_from = self._handover_ends_at(earlier)
-        if self.is_outdated:
-            self.holder_before_restore = holder
         self.fence = record.revision
-        self.revision = record.revision
-        self.holder = self._fleet.me.name
+        self._replace_holder(self._fleet.me.name, record.revision)
         now = self._fleet.dependencies.boot_time()
         event(
             log.notice,
--- a/balsamhinge/controllers/restoration.py
+++ b/balsamhinge/controllers/restoration.py
@@ -97,6 +97,9 @@
             Instances that may know of a change without having told it.
         """
         fleet = self._fleet
+        if self._has_kept_duty():
+            # All changes that can have taken effect are its own.
+            return []
         members = fleet.other_members()
         replies = await asyncio.gather(
             *(fleet.gossip.exchange(member) for member in members)
@@ -110,6 +113,14 @@
             unheard.append(fleet.me.name)
         return [name for name in unheard if self._may_have_promoted(name)]
 
+    def _has_kept_duty(self):
+        """Return whether this instance held the duty until the restore."""
+        duty_controller = self._fleet.duty
+        last_holder = duty_controller.holder_before_restore
+        return last_holder == self._fleet.me.name and (
+            duty_controller.knows_last_holder()
+        )
+
     def _may_have_promoted(self, name):
         """Return whether an instance may have promoted a target unnoticed.
 
--- a/tests/controllers/test_restoration.py
+++ b/tests/controllers/test_restoration.py
@@ -4,6 +4,7 @@
 
 from balsamhinge.controllers import clock
 from balsamhinge.controllers import duty
+from balsamhinge.controllers import gossip
 from balsamhinge.controllers import storedrecords
 from balsamhinge import interfaces
 from balsamhinge.policy import leases
@@ -163,6 +164,24 @@
 class OutdatedRecordsTest(virtual.FleetTestCase):
     """What instances tell each other of records that the store has lost."""
 
+    # Guards against leases that stay lapsed while the holder waits for an
+    # instance that does not answer and whose knowledge it does not need.
+    def test_a_holder_that_kept_the_duty_asks_nobody(self):
+        async def scenario(world):
+            holder = world.holder()
+            silent = next(one for one in world.fleets if one != holder.me.name)
+            world.cuts.add(frozenset((silent, holder.me.name)))
+            await world.restore_store(world.records.copy())
+            while not holder.leaders.outdated_groups:
+                await asyncio.sleep(POLL_INTERVAL_S)
+            learned_at = clock.now()
+            while holder.leaders.outdated_groups:
+                await asyncio.sleep(POLL_INTERVAL_S)
+            took_s = clock.now() - learned_at
+            self.assertLess(took_s, gossip.CALL_TIMEOUT_S)
+
+        self.run_fleet(scenario)
+
     def lose_record(self, world):
         """Return a copy of the store that lacks the record of a group."""
         copy = world.records.copy()
@@ -279,6 +298,25 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         old.knobs.dark = False
 
+    # Guards against records that are written without the knowledge of the
+    # last holder before the restore: the one that followed it in the restored
+    # store is not the one that may have promoted a target.
+    def test_the_last_holder_before_a_restore_is_remembered(self):
+        async def scenario(world):
+            holder = world.holder().me.name
+            await world.restore_store(world.records.copy())
+            while world.fleets[holder].duty.is_outdated or (
+                not world.fleets[holder].store_health.incarnation
+            ):
+                await asyncio.sleep(POLL_INTERVAL_S)
+            await world.kill(holder)
+            await asyncio.sleep(LEASE_END_S)
+            later = world.holder()
+            self.assertNotEqual(holder, later.me.name)
+            self.assertEqual(holder, later.duty.holder_before_restore)
+
+        self.run_fleet(scenario)
+
     # Guards against a store that nobody completes, because the holder does
     # not reach it any more.
     def test_another_instance_completes_the_records(self):
