Drain sessions that are accepted until the instance stops listening

Cause: the drain ended when no session was open, up to 2.2 s before the instance stopped listening. A session that was accepted in between was served until the process ended, and cut then.

Evidence: the request was sent 2.246 s after SIGTERM and its connection closed 2.480 s after it; stops take 2.46 s.

--- a/balsamhinge/platform/callers.py
+++ b/balsamhinge/platform/callers.py
@@ -82,10 +82,11 @@
 
         Idle sessions are closed in batches, so that their callers do not all
         reconnect to other instances at once. Sessions that are still busy at
-        the deadline are closed too.
+        the deadline are closed too. As long as the server listens, further
+        sessions may come.
         """
         deadline = clock.now() + grace_s
-        while self.connections and clock.now() < deadline:
+        while self._may_have_sessions() and clock.now() < deadline:
             remaining_s = max(
                 DRAIN_STEP_INTERVAL_S, deadline - clock.now() - 1.0
             )
@@ -100,6 +101,10 @@
         for conn in list(self.connections):
             conn.close()
 
+    def _may_have_sessions(self):
+        is_listening = self._server is not None and self._server.is_serving()
+        return bool(self.connections) or is_listening
+
     def stop_listening(self):
         """Stop accepting connections."""
         if self._server is not None:
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -124,6 +124,23 @@
 
         self.run_platform(scenario)
 
+    # Guards against requests that are cut at a planned stop: a session was
+    # accepted after all others had been closed and before the instance
+    # stopped listening, and nobody waited for it.
+    def test_a_session_accepted_during_a_drain_is_drained(self):
+        async def scenario(platform):
+            callers = platform.daemon._callers
+            draining = asyncio.ensure_future(callers.drain(HANG_TIMEOUT_S))
+            # The drain finds no session.
+            await asyncio.sleep(0)
+            client = await platform.session("posts")
+            callers.stop_listening()
+            await draining
+            self.assertEqual(set(), callers.connections)
+            self.assertEqual(b"", await client.reader.read())
+
+        self.run_platform(scenario)
+
     def test_pipelined_requests_are_answered_in_order(self):
         async def scenario(platform):
             client = await platform.session("fixtures")
