--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -359,6 +359,8 @@
         word, _, rest = text.partition(" ")
         if word in ("READ", "WRITE", "EXECUTE", "COMMIT"):
             await asyncio.sleep(WORK_S)
+        if self.state == "I":
+            self.transaction = []
         if needed is not None and not self.target.has(needed):
             return self._refuse("LAGGING")
         lines = self._execute(query_id, word, rest)
@@ -507,7 +509,9 @@
         )
         if not lines[-1].startswith("ERROR"):
             connection.transaction.append(query_id)
-        self.runs.append((at, connection, query_id, text, lines))
+        self.runs.append(
+            (at, connection, query_id, text, connection.transaction[:1])
+        )
 
     def commit(self, connection, query_id, writes):
         """Commit writes at a primary, and send them to its replicas."""
