--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -352,6 +352,12 @@
 
     async def run(self, query_id, text):
         """Run a statement; return the lines before READY."""
+        if query_id != "-":
+            service = self.target.service
+            service.received[query_id] = (
+                service.record.now(),
+                self.target.name,
+            )
         needed = None
         if text.startswith("WAITPOS "):
             _, position, text = text.split(" ", 2)
@@ -471,6 +477,8 @@
         self.store = store
         self.max_connections = max_connections
         self.runs = []
+        # (time, target) at which a statement of a caller reached a target.
+        self.received = {}
         self.commits = []
         # Times at which a promotion took effect, by target.
         self.promoted_at = {}
@@ -717,8 +725,9 @@
         self.database = database
         self.number = next(self.numbers)
         self._reader = self._writer = None
-        # (time, identifier, text, lines) of each answered request.
+        # (time, identifier, text, lines) of each request that has ended.
         self.answers = []
+        self.sent_at = {}
 
     async def open(self):
         """Connect; return the answer to CONNECT."""
@@ -740,7 +749,9 @@
     async def query(self, text):
         """Send a request; return its identifier and the lines answered."""
         query_id = f"{next(self.identifiers):016x}"
-        self.record.note("sent", caller=self.number, id=query_id, text=text)
+        self.sent_at[query_id] = self.record.note(
+            "sent", caller=self.number, id=query_id, text=text
+        )
         self._writer.write(f"QUERY {query_id} {text}\r\n".encode())
         lines = []
         with contextlib.suppress(ConnectionError):
