--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -90,6 +90,14 @@
     return server, server.sockets[0].getsockname()[1]
 
 
+async def read_line(reader):
+    """Return a message up to its CR LF; b"" at the end of the stream."""
+    try:
+        return await reader.readuntil(b"\r\n")
+    except asyncio.IncompleteReadError:
+        return b""
+
+
 class Store:
     """The platform's store: linearizable, with watches."""
 
@@ -225,6 +233,50 @@
         return 200, dict(self._write(kind, name, content["spec"]))
 
 
+class Link:
+    """Forwards connections, or cuts them.
+
+    While it is cut, bytes of open connections wait, as their senders would
+    send them again. A connection that is opened meanwhile gets no answer at
+    any time, as its first packet is lost.
+    """
+
+    def __init__(self, to):
+        self._to = to
+        self.passes = asyncio.Event()
+        self.passes.set()
+
+    async def start(self, host, port):
+        """Listen; return the port."""
+        server = await asyncio.start_server(self._serve, host, port)
+        return server.sockets[0].getsockname()[1]
+
+    async def _serve(self, reader, writer):
+        if not self.passes.is_set():
+            with contextlib.suppress(OSError):
+                while await reader.read(65536):
+                    pass
+            writer.transport.abort()
+            return
+        try:
+            there = await asyncio.open_connection(*self._to)
+        except OSError:
+            writer.transport.abort()
+            return
+        await asyncio.gather(
+            self._forward(reader, there[1]), self._forward(there[0], writer)
+        )
+
+    async def _forward(self, reader, writer):
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65536):
+                await self.passes.wait()
+                writer.write(data)
+                await writer.drain()
+        await self.passes.wait()
+        writer.close()
+
+
 class Target:
     """A backend of a service: a primary or a replica, with its log."""
 
@@ -286,7 +338,7 @@
         connection = None
         self._connections += 1
         try:
-            while line := await reader.readline():
+            while line := await read_line(reader):
                 text = line.decode().removesuffix("\r\n")
                 word, _, rest = text.partition(" ")
                 if word == "CONNECT":
@@ -479,6 +531,8 @@
         self.runs = []
         # (time, target) at which a statement of a caller reached a target.
         self.received = {}
+        # Position of the log on which a statement ran.
+        self.positions = {}
         self.commits = []
         # Times at which a promotion took effect, by target.
         self.promoted_at = {}
@@ -520,6 +574,7 @@
         self.runs.append(
             (at, connection, query_id, text, connection.transaction[:1])
         )
+        self.positions[query_id] = connection.target.position
 
     def commit(self, connection, query_id, writes):
         """Commit writes at a primary, and send them to its replicas."""
@@ -636,8 +691,10 @@
         ports = deployment.ports
         self.callers = f"{ip}:{ports[0]}"
         self.readiness = f"{ip}:{ports[1]}"
+        # Changed by `Deployment.put_links` before the start.
+        self.stream_port = ports[3]
+        self.store = deployment.store.address
         self._settings = deployment.folder / f"{name}.ini"
-        self._settings.write_text(self._render(ports), encoding="utf-8")
         self.process = None
 
     def _render(self, ports):
@@ -650,8 +707,8 @@
             f"[callers]\naddress = {self.callers}\n\n"
             f"[readiness]\naddress = {self.readiness}\n\n"
             f"[peers]\naddress = {self.ip}:{ports[2]}\n"
-            f"stream_port = {ports[3]}\n\n"
-            f"[platform]\nstore = {deployment.store.address}\n"
+            f"stream_port = {self.stream_port}\n\n"
+            f"[platform]\nstore = {self.store}\n"
             f"promotion = {deployment.cloud.address}\n\n"
             "[customers]\nstrict_revocation = \nrevocation_ms = \n"
             "limit_window_s = \nlimit_overage = \nlimit_slack = \n\n"
@@ -660,6 +717,9 @@
 
     async def start(self):
         """Start the process."""
+        self._settings.write_text(
+            self._render(self._deployment.ports), encoding="utf-8"
+        )
         role = tomllib.loads(
             (REPOSITORY / "deploy/system.toml").read_text(encoding="utf-8")
         )["roles"]["instance"]
@@ -753,9 +813,12 @@
             "sent", caller=self.number, id=query_id, text=text
         )
         self._writer.write(f"QUERY {query_id} {text}\r\n".encode())
+        return await self._read_answer(query_id, text)
+
+    async def _read_answer(self, query_id, text):
         lines = []
         with contextlib.suppress(ConnectionError):
-            while line := await self._reader.readline():
+            while line := await read_line(self._reader):
                 lines.append(line.decode().removesuffix("\r\n"))
                 if lines[-1].startswith("READY"):
                     break
@@ -790,8 +853,13 @@
 class Deployment:
     """Instances, store, promotion call and one service."""
 
-    def __init__(self, record, zones, per_zone, routes, max_connections=23):
+    def __init__(
+        self, record, zones, per_zone, routes, max_connections=23, cuttable=()
+    ):
         self.record = record
+        # Numbers of the instances that can be cut off, and their links.
+        self._cuttable = cuttable
+        self.links = collections.defaultdict(list)
         self.zones = zones
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review"))
         self.store = Store(record)
@@ -836,10 +904,14 @@
             for z, zone in enumerate(self.zones)
             for number in range(self._per_zone[z])
         ]
-        self.ports = free_ports([ip for _zone, ip in addresses], 4)
+        self.ports = free_ports(
+            [ip for _zone, ip in addresses], 4 + len(self._cuttable)
+        )
         for number, (zone, ip) in enumerate(addresses, 1):
             instance = Instance(self, f"front-{zone}-{number}", zone, ip)
             self.instances.append(instance)
+        for number, port in zip(self._cuttable, self.ports[4:], strict=True):
+            await self._put_links(self.instances[number], port)
         started_at = time.monotonic()
         for instance in self.instances:
             await instance.start()
@@ -847,6 +919,42 @@
         # Traffic starts 12 s after the machines do.
         await asyncio.sleep(max(0.0, started_at + 12.0 - time.monotonic()))
 
+    async def _put_links(self, instance, own):
+        """Lead an instance's connections to others and the store by links.
+
+        All instances use one port for calls between them. Here this one uses
+        another, and links stand at the port where the others look for it,
+        and where it looks for the others.
+        """
+        usual = self.ports[3]
+        links = self.links[instance.name]
+        store_host, _, store_port = self.store.address.rpartition(":")
+        store_link = Link((store_host, int(store_port)))
+        instance.store = f"127.0.0.1:{await store_link.start('127.0.0.1', 0)}"
+        links.append(store_link)
+        instance.stream_port = own
+        inbound = Link((instance.ip, own))
+        await inbound.start(instance.ip, usual)
+        links.append(inbound)
+        for other in self.instances:
+            if other is instance:
+                continue
+            outbound = Link((other.ip, usual))
+            await outbound.start(other.ip, own)
+            links.append(outbound)
+
+    def cut(self, instance):
+        """Cut an instance off from the store and from all others."""
+        self.record.note("cut", instance=instance.name)
+        for link in self.links[instance.name]:
+            link.passes.clear()
+
+    def heal(self, instance):
+        """End the cut of an instance."""
+        self.record.note("healed", instance=instance.name)
+        for link in self.links[instance.name]:
+            link.passes.set()
+
     async def wait_ready(self, instances, timeout_s):
         """Wait until instances are ready, and registered in the store."""
         until = time.monotonic() + timeout_s
