--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A primary is replaced as planned while transactions are open."""
+"""Primaries are replaced as planned while transactions are open."""
 
 import asyncio
 import pathlib
@@ -13,6 +13,8 @@
 FIRST_COMMIT_S = 0.92
 COMMIT_STEP_S = 0.018
 TRANSACTIONS = 18
+# The backends of the service are replaced one after the other.
+TURNS = 4
 ZONES = ["north", "central", "south"]
 
 
@@ -22,23 +24,23 @@
     return deployment.Deployment(record, ZONES, [2, 2, 2], routes)
 
 
-async def run_transaction(caller, started, number):
+async def run_transaction(caller, started, number, item):
     """Write in a transaction, pause, and commit."""
     await caller.open()
     await caller.must("BEGIN")
-    write_id = await caller.must(f"WRITE item{number} data{number}")
+    await caller.must(f"WRITE {item} data")
     await started.wait()
     await asyncio.sleep(FIRST_COMMIT_S + COMMIT_STEP_S * number)
     commit_id, lines = await caller.query("COMMIT")
     caller.close()
-    return number, write_id, commit_id, lines
+    return item, commit_id, deployment.succeeded(lines)
 
 
-async def scenario(deployed, trouble):
+async def replace(deployed, turn, trouble):
     """Replace the primary; return the breaches of ONE."""
     record, service = deployed.record, deployed.service
     old = service.primary
-    successor = deployed.target_starts("i-svc3", old.zone)
+    successor = deployed.target_starts(f"i-new{turn}", old.zone)
     await successor.start()
     deployed.store.put("servers", successor.name, successor.entry())
     await asyncio.sleep(1.0)
@@ -51,50 +53,62 @@
                 ),
                 started,
                 number,
+                f"item{turn}-{number}",
             )
         )
         for number in range(TRANSACTIONS)
     ]
     await asyncio.sleep(0.3)
     if trouble:
-        # The release of the primary: it reports `draining` and goes on to
-        # serve for drain_ms.
-        old.state = "draining"
-        deployed.store.put("servers", old.name, old.entry())
+        deployed.target_leaves(old)
     started.set()
     results = await asyncio.gather(*running)
     await asyncio.sleep(2.5)
-    effects = list(service.promoted_at.values())
+    return find_breaches(record, service, old, results)
+
+
+def find_breaches(record, service, old, results):
+    """Return the commits at the old primary after a promote."""
+    effect = service.promoted_at.get(service.primary.name)
     committed = {
         query_id: at
-        for at, at_target, query_id, _entry in service.commits
-        if at_target is old
+        for at, target, query_id, _entry in service.commits
+        if target is old
     }
     held = {
         item
-        for _t, _n, writes in service.primary.log
+        for _term, _number, writes in service.primary.log
         for item, _value in writes
     }
     breaches = []
-    for number, _write_id, commit_id, lines in results:
-        acknowledged = deployment.succeeded(lines)
+    for item, commit_id, acknowledged in results:
         at = committed.get(commit_id)
         record.note(
             "transaction",
-            number=number,
+            item=item,
             acknowledged=acknowledged,
             committed_at=at,
-            kept=f"item{number}" in held,
+            kept=item in held,
         )
-        if acknowledged and at is not None and effects and at > effects[0]:
+        if service.primary is old or not acknowledged or at is None:
+            continue
+        if at > effect:
             breaches.append(
-                f"ONE: transaction {number} was committed at the old primary "
-                f"{1000 * (at - effects[0]):.0f} ms after the promote had "
-                "taken effect, and acknowledged; it is "
-                + ("kept" if f"item{number}" in held else "lost")
+                f"ONE: the write of {item} was committed at the old primary "
+                f"{1000 * (at - effect):.0f} ms after the promote had taken "
+                "effect, and acknowledged; it is "
+                + ("kept" if item in held else "lost")
             )
     return breaches
 
 
+async def scenario(deployed, trouble):
+    """Replace one primary after the other; return the breaches of ONE."""
+    breaches = []
+    for turn in range(TURNS):
+        breaches += await replace(deployed, turn, trouble)
+    return breaches
+
+
 if __name__ == "__main__":
     deployment.run_case(FOLDER, prepare, scenario)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,21 +12,21 @@
 ZONES = ["north", "central", "south"]
 # Instances that can be cut off; three of them are, without the holder of the
 # promotion duty.
-CUTTABLE = (1, 3, 4, 5)
+CUTTABLE = (1, 4, 7, 8)
 CUT_OFF = 3
 # The machines are cut off for the longest time on the days of the site. If all
-# of them are still recorded in the store after it, they are cut off once more.
-FIRST_CUTS = 2
+# of them are still recorded in the store after it, they are cut off again.
+FIRST_CUTS = 3
 FIRST_CUT_S = 12.0
 CALM_S = 6.0
 LAST_CUT_S = 5.0
 
 
 def prepare(record):
-    """Return a deployment of six instances and three targets."""
+    """Return a deployment of nine instances and three targets."""
     routes = [deployment.route("posts", "primary")]
     return deployment.Deployment(
-        record, ZONES, [2, 2, 2], routes, cuttable=CUTTABLE
+        record, ZONES, [3, 3, 3], routes, cuttable=CUTTABLE
     )
 
 
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -26,12 +26,15 @@
 # connection, the way of a commit to a replica, a promotion.
 STORE_ANSWER_S = 0.004
 WORK_S = 0.005
+STATUS_S = 0.0005
+SLOTS = 3
 HANDSHAKE_S = 0.012
 REPLICATION_S = 0.02
 PROMOTE_S = 0.3
 # An old primary goes on until a second after it can reach the new one.
 OLD_PRIMARY_S = 1.0
 GRACE_S = 6
+DRAIN_S = 7.0
 HISTORY = 4000
 
 
@@ -291,7 +294,11 @@
         self.log = []
         self.address = ""
         self.born = int(time.time() * 1000)
-        self.runs = []
+        # Disruptions: receives nothing; works this many times as long.
+        self.deaf = False
+        self.slowness = 1.0
+        self._slots = asyncio.Semaphore(SLOTS)
+        self._writers = set()
         self._server = None
         self._connections = 0
         self._signatures = itertools.count(1)
@@ -337,6 +344,7 @@
     async def _serve(self, reader, writer):
         connection = None
         self._connections += 1
+        self._writers.add(writer)
         try:
             while line := await read_line(reader):
                 text = line.decode().removesuffix("\r\n")
@@ -368,8 +376,21 @@
             pass
         finally:
             self._connections -= 1
+            self._writers.discard(writer)
             writer.close()
 
+    def crash(self):
+        """End as a process that is killed: its port resets connections."""
+        self.service.record.note("crashed", target=self.name)
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def work(self, work_s):
+        """Occupy a slot for a while."""
+        async with self._slots:
+            await asyncio.sleep(work_s * self.slowness)
+
     def sign(self):
         """Return a signature of this target."""
         return f"{self.name}.{next(self._signatures)}"
@@ -416,12 +437,17 @@
             needed = tuple(map(int, position.split(".")))
         word, _, rest = text.partition(" ")
         if word in ("READ", "WRITE", "EXECUTE", "COMMIT"):
-            await asyncio.sleep(WORK_S)
+            await self.target.work(self.target.service.work_s)
+        elif word == "STATUS":
+            await self.target.work(STATUS_S)
         if self.state == "I":
             self.transaction = []
         if needed is not None and not self.target.has(needed):
             return self._refuse("LAGGING")
+        commits = len(self.target.service.commits)
         lines = self._execute(query_id, word, rest)
+        if len(self.target.service.commits) > commits:
+            await self.target.service.wait_received(self.target)
         if query_id != "-":
             self.target.service.note_run(self, query_id, text, lines)
         return lines
@@ -528,6 +554,8 @@
         self.record = record
         self.store = store
         self.max_connections = max_connections
+        self.sync_replicas = 0
+        self.work_s = WORK_S
         self.runs = []
         # (time, target) at which a statement of a caller reached a target.
         self.received = {}
@@ -536,6 +564,7 @@
         self.commits = []
         # Times at which a promotion took effect, by target.
         self.promoted_at = {}
+        self.promoted_log = {}
         self.targets = {}
         for index, zone in enumerate(zones):
             role = "primary" if index == 0 else "replica"
@@ -601,10 +630,23 @@
             # The replicas follow the new primary.
             return
         for target in self.targets.values():
-            if target.role == "replica" and len(target.log) < length:
+            if target.deaf or target.role != "replica":
+                continue
+            if len(target.log) < length:
                 target.log = source.log[:length]
                 target.term = source.term
 
+    async def wait_received(self, source):
+        """Wait until a replica has received the log, if that is asked for."""
+        length = len(source.log)
+        while self.sync_replicas:
+            await asyncio.sleep(0.001)
+            if any(
+                target is not source and len(target.log) >= length
+                for target in self.targets.values()
+            ):
+                return
+
     async def promote(self, name):
         """Make a target lead the next term, some hundred ms later."""
         chosen = self.targets.get(name)
@@ -617,6 +659,7 @@
             old = self.primary
             chosen.term = old.term + 1
             chosen.role = "primary"
+            self.promoted_log[name] = list(chosen.log)
             self.promoted_at[name] = self.record.note(
                 "promoted",
                 target=name,
@@ -625,7 +668,7 @@
             )
             self.store.put("servers", name, chosen.entry())
             for target in self.targets.values():
-                if target.role == "replica":
+                if target.role == "replica" and not target.deaf:
                     target.log = list(chosen.log)
                     target.term = chosen.term
             loop = asyncio.get_running_loop()
@@ -886,7 +929,7 @@
                     {
                         "name": self.service.name,
                         "max_conns": self.service.max_connections,
-                        "sync_replicas": 0,
+                        "sync_replicas": self.service.sync_replicas,
                     }
                 ],
                 "limits": {"tx_idle_ms": 3000},
@@ -990,6 +1033,18 @@
         target.term = self.service.primary.term
         return target
 
+    def target_leaves(self, target):
+        """Let a target report `draining`, and exit some time later."""
+        target.state = "draining"
+        self.store.put("servers", target.name, target.entry())
+
+        def exit_process():
+            target.crash()
+            del self.service.targets[target.name]
+            self.store.remove("servers", target.name)
+
+        asyncio.get_running_loop().call_later(DRAIN_S + 1.0, exit_process)
+
 
 def free_ports(ips, count):
     """Return ports that are free at all of these addresses."""
