Review: each case reads TROUBLE itself

Cause: only the common module read it, so that a case did not show what it does without its disruption.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """Primaries are replaced as planned while transactions are open."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -111,4 +112,5 @@
 
 
 if __name__ == "__main__":
-    deployment.run_case(FOLDER, prepare, scenario)
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    deployment.run_case(FOLDER, prepare, scenario, trouble)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """An instance that lends connections is killed, and starts again."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -141,4 +142,5 @@
 
 
 if __name__ == "__main__":
-    deployment.run_case(FOLDER, prepare, scenario)
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    deployment.run_case(FOLDER, prepare, scenario, trouble)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,7 @@
 """A machine is stopped as planned while sessions are busy."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -80,4 +81,5 @@
 
 
 if __name__ == "__main__":
-    deployment.run_case(FOLDER, prepare, scenario)
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    deployment.run_case(FOLDER, prepare, scenario, trouble)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -146,4 +146,5 @@
 
 
 if __name__ == "__main__":
-    deployment.run_case(FOLDER, prepare, scenario)
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    deployment.run_case(FOLDER, prepare, scenario, trouble)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,7 @@
 """A caller's value contains a line feed."""
 
 import asyncio
+import os
 import pathlib
 import sys
 
@@ -41,4 +42,5 @@
 
 
 if __name__ == "__main__":
-    deployment.run_case(FOLDER, prepare, scenario)
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    deployment.run_case(FOLDER, prepare, scenario, trouble)
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -1052,7 +1052,7 @@
     return found | changes
 
 
-def run_case(folder, prepare, scenario):
+def run_case(folder, prepare, scenario, trouble):
     """Run a case, and exit with the code of its script.
 
     Parameters
@@ -1064,9 +1064,10 @@
     scenario : callable
         Coroutine function of the deployment and of whether there is trouble;
         returns a list of texts, one for each breach of the rule.
+    trouble : bool
+        Whether the case brings about its disruption.
     """
     record = Record(pathlib.Path(folder) / "record.txt")
-    trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
         deployment = prepare(record)
