Log requests that a closed connection leaves without an answer

Callers saw requests that ended without an answer around a SIGTERM, and no line of the instance told of them, so the hypotheses of the incident could not be told apart. callers_drained counts the sessions that are left at the end of a drain, closed_while_busy and answer_dropped name the request, the state of its session and its age, and request_failed tells of an error that no handler expected. No decision is changed.

--- a/balsamhinge/platform/callers.py
+++ b/balsamhinge/platform/callers.py
@@ -98,6 +98,7 @@
             for conn in idle[: 1 + len(idle) // steps]:
                 conn.close()
             await clock.pause(DRAIN_STEP_INTERVAL_S)
+        event(log.notice, "callers_drained", remaining=len(self.connections))
         for conn in list(self.connections):
             conn.close()
 
@@ -128,6 +129,10 @@
         self._pending_lines = collections.deque()
         self._task = None
         self._session = None
+        # Identifier of the request that is being answered, and the loop
+        # seconds of its start.
+        self._request_id = ""
+        self._request_started_at = 0.0
         self._closing = False
         self._writable = asyncio.Event()
         self._writable.set()
@@ -174,6 +179,14 @@
                 await self._writable.wait()
                 if len(self._pending_lines) <= MAX_QUEUED_REQUESTS:
                     self._transport.resume_reading()
+        except Exception as exc:
+            event(
+                log.error,
+                "request_failed",
+                request_id=self._request_id,
+                error=f"{type(exc).__name__} {exc}",
+            )
+            raise
         finally:
             self._task = None
             if self._closing and self._session is not None:
@@ -199,9 +212,23 @@
         self.close()
 
     def _write(self, data):
-        if not self._transport.is_closing():
+        if self._transport.is_closing():
+            self._log_unanswered("answer_dropped")
+        else:
             self._transport.write(data)
 
+    def _log_unanswered(self, name):
+        """Log that the caller gets no answer to the running request."""
+        event(
+            log.notice,
+            name,
+            request_id=self._request_id,
+            database=self._session.database if self._session else "",
+            state=self._session.state.name if self._session else "",
+            queued=len(self._pending_lines),
+            waited_s=clock.now() - self._request_started_at,
+        )
+
     async def _open_session(self, rest):
         database, _, key = rest.partition(" ")
         directory = self._fleet.directory
@@ -237,7 +264,8 @@
 
     async def _answer_query(self, rest):
         request_id, _, text = rest.partition(" ")
-        started_at = clock.now()
+        self._request_id = request_id
+        self._request_started_at = started_at = clock.now()
         try:
             statement = wire.parse_statement(text)
         except exceptions.ProtocolError as exc:
@@ -271,6 +299,9 @@
 
     def close(self):
         """Close the connection after the written data is sent."""
+        runs_request = self._task not in (None, asyncio.current_task())
+        if runs_request and not self._closing:
+            self._log_unanswered("closed_while_busy")
         self._closing = True
         if self._transport is not None:
             self._transport.close()
