Reproduce a statement that a stop leaves without an answer

A session that sends one statement after the other is never idle when the drain looks, and is closed in the middle of a statement at 0.8 of the grace time.

--- /dev/null
+++ b/tests/platform/test_callers.py
@@ -0,0 +1,110 @@
+"""Tests of the callers' port of an instance that is stopping."""
+
+import asyncio
+
+import testtools
+
+from balsamhinge.platform import wire
+from tests.platform import test_daemon
+from tests.support import virtual
+
+# Long enough for a statement to be under way at any moment of a stop.
+WORK_S = 0.05
+
+
+class Caller:
+    """A caller that counts its requests and their complete answers."""
+
+    def __init__(self, client, name):
+        self._client = client
+        self._name = name
+        self._count = 0
+        self.unanswered = []
+        self.problems = []
+
+    async def request(self, text):
+        """Send a query; return the lines of its answer."""
+        self._count += 1
+        request_id = f"{self._name}-{self._count}"
+        try:
+            lines = await self._client.request(f"QUERY {request_id} {text}")
+        except ConnectionError:
+            lines = []
+        if not lines or not lines[-1].startswith("READY"):
+            self.unanswered.append(request_id)
+        elif lines[0].startswith("ERROR"):
+            self.problems.append(lines[0].split()[1])
+        return lines
+
+    async def request_until_refused(self, text):
+        """Send queries one after the other until one does not succeed."""
+        while not self.unanswered and not self.problems:
+            await self.request(text)
+
+    async def is_closed(self):
+        """Wait for the end of the stream; return whether nothing came."""
+        return await self._client.reader.read() == b""
+
+
+class CallersTestCase(testtools.TestCase):
+    """Starts one instance and its platform for one coroutine."""
+
+    def run_platform(self, scenario):
+        async def run():
+            platform = test_daemon.Platform()
+            await platform.start()
+            try:
+                async with asyncio.timeout(test_daemon.HANG_TIMEOUT_S):
+                    await scenario(platform)
+            finally:
+                await platform.stop()
+
+        ended = virtual.EndedLoops()
+        with ended.applicationbound():
+            asyncio.run(run())
+        self.assertEqual([], ended.lines)
+
+    async def open_callers(self, platform, databases):
+        return [
+            Caller(await platform.session(database), f"{database}{number}")
+            for number, database in enumerate(databases)
+        ]
+
+    def assert_answered(self, platform, callers):
+        """Check that each request that a target received was answered."""
+        received = {
+            line.split(" ", 2)[1]
+            for server in platform.targets.values()
+            for line in server.received
+            if line.startswith(wire.QUERY)
+        }
+        for caller in callers:
+            self.assertEqual(set(), received & set(caller.unanswered))
+
+
+class StoppingInstanceTest(CallersTestCase):
+    """Callers of an instance that has received SIGTERM."""
+
+    # Guards against a stop that closes a session in the middle of a
+    # statement: callers whose sessions were never idle got no answer.
+    def test_busy_sessions_are_refused_before_they_are_closed(self):
+        async def scenario(platform):
+            for target in platform.group.targets.values():
+                target.knobs.work_s = WORK_S
+            callers = await self.open_callers(
+                platform, ["posts", "fixtures"] * 3
+            )
+            running = [
+                asyncio.ensure_future(
+                    caller.request_until_refused("WRITE a 1")
+                )
+                for caller in callers
+            ]
+            platform.daemon.request_stop()
+            await asyncio.gather(*running)
+            self.assert_answered(platform, callers)
+            for caller in callers:
+                self.assertEqual(["BUSY"], caller.problems)
+                self.assertTrue(await caller.is_closed())
+
+        self.run_platform(scenario)
