Keep sessions open that were active just before a stop

Callers lost single writes around a stop: the drain closed a session as idle between its READY and its first request, or between an answer and the next request, whenever it happened to look at that moment. The request on its way met a closed connection, and a write without an answer cannot be repeated.

A session counts as idle 0.1 s after its latest answer, also when an isolated instance sends its sessions away.

--- a/balsamhinge/platform/callers.py
+++ b/balsamhinge/platform/callers.py
@@ -25,6 +25,9 @@
 # A drain closes idle sessions in up to MAX_DRAIN_STEPS batches.
 DRAIN_STEP_INTERVAL_S = 0.1
 MAX_DRAIN_STEPS = 10
+# A caller that sends one request after the other is not idle for this long
+# between an answer and its next request.
+MIN_IDLE_S = 0.1
 # The load balancer takes an instance out after two failed readiness probes,
 # one second apart. Callers whose sessions are closed earlier would be sent
 # back to this instance.
@@ -71,12 +74,19 @@
         for conn in list(self.connections):
             conn.abort_idle_transaction(now, limit_s)
         if self.fleet.isolated_s > ISOLATED_CLOSE_DELAY_S:
-            idle = [conn for conn in self.connections if conn.is_idle()]
+            idle = self._idle_connections()
             if idle:
                 event(log.notice, "sessions_sent_away", sessions=len(idle))
             for conn in idle:
                 conn.close()
 
+    def _idle_connections(self):
+        return [
+            conn
+            for conn in self.connections
+            if conn.is_idle() and conn.idle_s() > MIN_IDLE_S
+        ]
+
     async def drain(self, grace_s):
         """Close all sessions gracefully, within `grace_s` seconds.
 
@@ -90,7 +100,7 @@
             remaining_s = max(
                 DRAIN_STEP_INTERVAL_S, deadline - clock.now() - 1.0
             )
-            idle = [conn for conn in self.connections if conn.is_idle()]
+            idle = self._idle_connections()
             steps = min(
                 MAX_DRAIN_STEPS,
                 max(1, int(remaining_s / DRAIN_STEP_INTERVAL_S)),
@@ -133,6 +143,7 @@
         # seconds of its start.
         self._request_id = ""
         self._request_started_at = 0.0
+        self._last_active_at = clock.now()
         self._closing = False
         self._writable = asyncio.Event()
         self._writable.set()
@@ -189,6 +200,7 @@
             raise
         finally:
             self._task = None
+            self._last_active_at = clock.now()
             if self._closing and self._session is not None:
                 self._session.close()
 
@@ -290,6 +302,10 @@
             return False
         return self._session is None or self._session.state is State.IDLE
 
+    def idle_s(self):
+        """Return the seconds since the latest answer; 0 while one is due."""
+        return 0.0 if self._task else clock.now() - self._last_active_at
+
     def abort_idle_transaction(self, now, limit_s):
         """Abort the open transaction if it was idle longer than `limit_s`."""
         if self._session is None or self._task is not None:
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -4,10 +4,12 @@
 
 import testtools
 
+from balsamhinge.platform import callers
 from balsamhinge.platform import wire
 from tests.platform import test_daemon
 from tests.support import virtual
 
+POLL_S = 0.01
 # Long enough for a statement to be under way at any moment of a stop.
 WORK_S = 0.05
 
@@ -70,7 +72,7 @@
             for number, database in enumerate(databases)
         ]
 
-    def assert_answered(self, platform, callers):
+    def assert_answered(self, platform, opened):
         """Check that each request that a target received was answered."""
         received = {
             line.split(" ", 2)[1]
@@ -78,32 +80,49 @@
             for line in server.received
             if line.startswith(wire.QUERY)
         }
-        for caller in callers:
+        for caller in opened:
             self.assertEqual(set(), received & set(caller.unanswered))
 
 
 class StoppingInstanceTest(CallersTestCase):
     """Callers of an instance that has received SIGTERM."""
 
+    # Guards against a stop that closes a session whose first request is on
+    # its way: the caller of a write could not repeat it.
+    def test_session_that_was_just_opened_is_not_closed_as_idle(self):
+        self.patch(callers, "MIN_IDLE_S", test_daemon.HANG_TIMEOUT_S)
+
+        async def scenario(platform):
+            (caller,) = await self.open_callers(platform, ["posts"])
+            platform.daemon.request_stop()
+            while not platform.daemon.fleet.stopping:
+                await asyncio.sleep(0)
+            # The drain looks for idle sessions.
+            await asyncio.sleep(POLL_S)
+            answer = await caller.request("WRITE a 1")
+            self.assertEqual("COMPLETE s", answer[0])
+
+        self.run_platform(scenario)
+
     # Guards against a stop that closes a session in the middle of a
     # statement: callers whose sessions were never idle got no answer.
     def test_busy_sessions_are_refused_before_they_are_closed(self):
         async def scenario(platform):
             for target in platform.group.targets.values():
                 target.knobs.work_s = WORK_S
-            callers = await self.open_callers(
+            opened = await self.open_callers(
                 platform, ["posts", "fixtures"] * 3
             )
             running = [
                 asyncio.ensure_future(
                     caller.request_until_refused("WRITE a 1")
                 )
-                for caller in callers
+                for caller in opened
             ]
             platform.daemon.request_stop()
             await asyncio.gather(*running)
-            self.assert_answered(platform, callers)
-            for caller in callers:
+            self.assert_answered(platform, opened)
+            for caller in opened:
                 self.assertEqual(["BUSY"], caller.problems)
                 self.assertTrue(await caller.is_closed())
 
