Answer what a stop can no longer complete instead of closing sessions

Cause: the drain waited for sessions that happened to be idle when it looked, and at its deadline closed all others, whatever they were doing; the process ended at once and broke their runs at the targets. It takes an open transaction, or a session that sends one statement after the other.

Change: a shutdown has a schedule. New operations are refused from half of the grace time on, and their session closed after the refusal; statements of open transactions from 0.8 on, with ABORTED; what still runs at 0.9 is given up with an answer that promises nothing unless no commit can have been sent; and the process waits for the sending of its answers until 0.95.

--- a/balsamhinge/fleet.py
+++ b/balsamhinge/fleet.py
@@ -77,6 +77,8 @@
         instance, as reported by gossip.
     stopping : bool
         Whether the instance is shutting down.
+    shutdown : ShutdownSchedule or None
+        When a graceful shutdown stops accepting each kind of work.
     """
 
     def __init__(
@@ -134,6 +136,7 @@
         self._reader_members = None
         self._readers = []
         self.stopping = False
+        self.shutdown = None
         self._isolated_at = None
         self._may_change_primaries_from = 0.0
         self.started_at = clock.now()
@@ -208,6 +211,18 @@
             knowledge_age_s=age_s,
         )
 
+    def begin_shutdown(self, schedule):
+        """Begin a graceful shutdown and announce it to other instances.
+
+        Parameters
+        ----------
+        schedule : ShutdownSchedule
+            When which work is no longer accepted.
+        """
+        self.stopping = True
+        self.shutdown = schedule
+        self.spawn(self.gossip.announce_stop())
+
     def is_store_reader(self):
         """Return whether this instance reads the store for the fleet.
 
--- a/balsamhinge/platform/callers.py
+++ b/balsamhinge/platform/callers.py
@@ -25,6 +25,7 @@
 # A drain closes idle sessions in up to MAX_DRAIN_STEPS batches.
 DRAIN_STEP_INTERVAL_S = 0.1
 MAX_DRAIN_STEPS = 10
+FLUSH_POLL_INTERVAL_S = 0.02
 # A caller that sends one request after the other is not idle for this long
 # between an answer and its next request.
 MIN_IDLE_S = 0.1
@@ -87,18 +88,31 @@
             if conn.is_idle() and conn.idle_s() > MIN_IDLE_S
         ]
 
-    async def drain(self, grace_s):
-        """Close all sessions gracefully, within `grace_s` seconds.
+    @property
+    def answer_by(self):
+        """Loop seconds of the latest answer; None without a shutdown."""
+        schedule = self.fleet.shutdown
+        return None if schedule is None else schedule.answer_by
+
+    async def drain(self, schedule):
+        """Close all sessions gracefully.
 
         Idle sessions are closed in batches, so that their callers do not all
-        reconnect to other instances at once. Sessions that are still busy at
-        the deadline are closed too. As long as the server listens, further
-        sessions may come.
+        reconnect to other instances at once. Others are closed after their
+        next refusal. As long as the server listens, further sessions may
+        come.
+
+        Parameters
+        ----------
+        schedule : ShutdownSchedule
+            When which work is no longer accepted.
         """
-        deadline = clock.now() + grace_s
-        while self._may_have_sessions() and clock.now() < deadline:
+        for conn in self.connections:
+            conn.limit_answer_time(schedule.answer_by)
+        while self._may_have_sessions() and clock.now() < schedule.answer_by:
             remaining_s = max(
-                DRAIN_STEP_INTERVAL_S, deadline - clock.now() - 1.0
+                DRAIN_STEP_INTERVAL_S,
+                schedule.refuse_operations_at - clock.now(),
             )
             idle = self._idle_connections()
             steps = min(
@@ -108,9 +122,11 @@
             for conn in idle[: 1 + len(idle) // steps]:
                 conn.close()
             await clock.pause(DRAIN_STEP_INTERVAL_S)
-        event(log.notice, "callers_drained", remaining=len(self.connections))
         for conn in list(self.connections):
-            conn.close()
+            conn.finish()
+        while self.connections and clock.now() < schedule.close_by:
+            await clock.pause(FLUSH_POLL_INTERVAL_S)
+        event(log.notice, "callers_drained", remaining=len(self.connections))
 
     def _may_have_sessions(self):
         is_listening = self._server is not None and self._server.is_serving()
@@ -143,7 +159,10 @@
         # seconds of its start.
         self._request_id = ""
         self._request_started_at = 0.0
+        self._answer_timeout = None
         self._last_active_at = clock.now()
+        # Whether to close the connection when all requests are answered.
+        self._finishing = False
         self._closing = False
         self._writable = asyncio.Event()
         self._writable.set()
@@ -201,6 +220,8 @@
         finally:
             self._task = None
             self._last_active_at = clock.now()
+            if self._finishing:
+                self.close()
             if self._closing and self._session is not None:
                 self._session.close()
 
@@ -230,7 +251,7 @@
             self._transport.write(data)
 
     def _log_unanswered(self, name):
-        """Log that the caller gets no answer to the running request."""
+        """Log what is known of a request without a regular answer."""
         event(
             log.notice,
             name,
@@ -285,7 +306,7 @@
                 Problem.MALFORMED, str(exc), self._session.state
             )
         else:
-            answer = await self._session.answer(request_id, statement)
+            answer = await self._run(request_id, statement)
         elapsed_s = clock.now() - started_at
         metrics.observe_statement(
             self._session.database,
@@ -295,6 +316,39 @@
         if (route := self._session.route) is not None:
             metrics.observe_priority(route.priority, elapsed_s)
         self._write(wire.encode_answer(answer))
+        shutdown = self._fleet.shutdown
+        if (
+            answer.problem is not None
+            and answer.state is State.IDLE
+            and shutdown is not None
+            and shutdown.refuses_operations(clock.now())
+        ):
+            # The caller has to repeat its request at another instance.
+            self._finishing = True
+
+    async def _run(self, request_id, statement):
+        """Return the answer to a statement, which a shutdown may give up."""
+        try:
+            async with asyncio.timeout_at(self._server.answer_by) as timeout:
+                self._answer_timeout = timeout
+                return await self._session.answer(request_id, statement)
+        except TimeoutError:
+            self._log_unanswered("request_given_up")
+            self._finishing = True
+            return self._session.give_up(statement, Problem.TIMEOUT)
+        finally:
+            self._answer_timeout = None
+
+    def limit_answer_time(self, deadline):
+        """Give the running request up if it is not answered in time.
+
+        Parameters
+        ----------
+        deadline : float
+            Loop seconds.
+        """
+        if self._answer_timeout is not None:
+            self._answer_timeout.reschedule(deadline)
 
     def is_idle(self):
         """Return whether no request runs and no transaction is open."""
@@ -313,6 +367,12 @@
         if self._session.transaction_idle_s(now) > limit_s:
             self._session.abort_transaction("idle")
 
+    def finish(self):
+        """Close the connection when its running request is answered."""
+        self._finishing = True
+        if self._task is None:
+            self.close()
+
     def close(self):
         """Close the connection after the written data is sent."""
         runs_request = self._task not in (None, asyncio.current_task())
--- a/balsamhinge/platform/daemon.py
+++ b/balsamhinge/platform/daemon.py
@@ -26,14 +26,13 @@
 from balsamhinge.platform import readiness
 from balsamhinge.platform import settings as settings_module
 from balsamhinge.platform import targets
+from balsamhinge.policy import shutdown
 
 __all__ = ["PlatformDaemon", "main"]
 
 # The load balancer takes an instance out after two failed readiness probes,
 # one second apart.
 UNREADY_DELAY_S = 2.2
-# Share of the grace time after which unfinished work is cut off.
-DRAIN_SHARE = 0.8
 # Interval of the log line that counts dropped log lines.
 DROPPED_REPORT_INTERVAL_S = 1.0
 # Interval of the log line that counts the calls to the store, which charges
@@ -151,15 +150,18 @@
         """Stop gracefully, without cutting off requests in flight."""
         logs.event(log.notice, "stopping", instance=self.fleet.me.name)
         started_at = time.monotonic()
-        grace_s = self._settings.grace_s * DRAIN_SHARE
-        deadline = clock.now() + grace_s
-        self.fleet.stopping = True
-        self.fleet.spawn(self.fleet.gossip.announce_stop())
-        draining = self.fleet.spawn(self._callers.drain(grace_s))
-        await asyncio.sleep(min(UNREADY_DELAY_S, grace_s / 2))
+        now = clock.now()
+        schedule = shutdown.ShutdownSchedule.from_grace(
+            now, self._settings.grace_s
+        )
+        self.fleet.begin_shutdown(schedule)
+        draining = self.fleet.spawn(self._callers.drain(schedule))
+        await clock.pause(
+            min(UNREADY_DELAY_S, schedule.refuse_operations_at - now)
+        )
         self._callers.stop_listening()
         await draining
-        await self.fleet.connection_loans.drain(deadline)
+        await self.fleet.connection_loans.drain(schedule.answer_by)
         self._readiness.stop()
         await self.fleet.halt()
         await self._server.stop()
--- a/balsamhinge/sessions/session.py
+++ b/balsamhinge/sessions/session.py
@@ -18,6 +18,8 @@
 
 # Pause before a statement of a transaction is retried at a busy target.
 BUSY_RETRY_PAUSE_S = 0.02
+# Detail of refusals during a shutdown.
+STOPPING = "the instance is stopping"
 
 Access = statements.Access
 Answer = statements.Answer
@@ -85,6 +87,7 @@
         # Whether the outcome of a commit is unknown. Reads then go to the
         # primary only.
         self._outcome_unknown = False
+        self._given_up = False
 
     @property
     def route(self):
@@ -106,7 +109,13 @@
 
     async def answer(self, request_id, statement):
         """Run one statement of the caller and return its `Answer`."""
+        if self._given_up:
+            return Answer.refusal(
+                Problem.BUSY, "the session has ended", self.state
+            )
         rejection = self._check_key(request_id, statement)
+        if rejection is None:
+            rejection = self._check_shutdown(request_id, statement)
         if rejection is not None:
             return rejection
         if self.state is State.FAILED:
@@ -168,6 +177,34 @@
             return None
         return attrs.evolve(checked, state=self.state)
 
+    def _check_shutdown(self, request_id, statement):
+        """Abort an open transaction that a shutdown leaves no more time.
+
+        Returns
+        -------
+        Answer or None
+            The refusal of the statement. A rollback needs none.
+        """
+        shutdown = self._fleet.shutdown
+        if (
+            shutdown is None
+            or self._transaction is None
+            or isinstance(statement, statements.Rollback)
+            or not shutdown.aborts_transactions(clock.now())
+        ):
+            return None
+        event(
+            log.notice,
+            "transaction_aborted",
+            request_id=request_id,
+            group=self._transaction.route.group,
+            error=STOPPING,
+        )
+        refusal = self._fail(Problem.ABORTED, STOPPING)
+        if isinstance(statement, statements.Commit):
+            self.state = State.IDLE
+        return attrs.evolve(refusal, state=self.state)
+
     def _is_end_without_effect(self, statement):
         """Return whether a statement ends a transaction and keeps nothing."""
         match statement:
@@ -204,6 +241,21 @@
         if route is None:
             return Answer.refusal(Problem.NO_DATABASE, self.database)
         customer = self._workload.customer
+        shutdown = self._fleet.shutdown
+        if shutdown is not None and shutdown.refuses_operations(clock.now()):
+            event(
+                log.info,
+                "refused",
+                request_id=request_id,
+                database=self.database,
+                customer=customer,
+                problem=Problem.BUSY.value,
+                failures=STOPPING,
+            )
+            self._fleet.customer_usage.record_refused(
+                customer, customerusage.Reason.UNAVAILABLE
+            )
+            return Answer.refusal(Problem.BUSY, STOPPING)
         try:
             await self._fleet.customer_limits.admit(
                 self._workload, clock.now() + route.timeout_s
@@ -301,6 +353,49 @@
             )
             conn.release(usable=False)
 
+    def give_up(self, statement, problem):
+        """End the processing of a statement whose answer is not known.
+
+        The session refuses all further statements.
+
+        Parameters
+        ----------
+        statement : object
+            The statement that the caller has sent.
+        problem : Problem
+            Reported for a statement that changes nothing.
+
+        Returns
+        -------
+        Answer
+            It promises that nothing is kept only if no commit can have
+            been sent.
+        """
+        self._given_up = True
+        transaction, self._transaction = self._transaction, None
+        if transaction is not None and transaction.conn is not None:
+            transaction.conn.release(usable=False)
+        if isinstance(statement, statements.Commit):
+            kept = transaction is None or transaction.wrote
+            problem = Problem.IN_DOUBT if kept else Problem.ABORTED
+        elif transaction is not None:
+            self.state = State.FAILED
+            return Answer.refusal(Problem.ABORTED, "given up", self.state)
+        elif self._changes_data(statement):
+            problem = Problem.IN_DOUBT
+        self.state = State.IDLE
+        return Answer.refusal(problem, "given up")
+
+    def _changes_data(self, statement):
+        """Return whether a statement outside transactions is a write."""
+        match statement:
+            case statements.Direct(access):
+                return access is Access.WRITE
+            case statements.Execute(name):
+                prepared = self._prepared.get(name)
+                return prepared is None or prepared.access is Access.WRITE
+        return False
+
     def abort_transaction(self, reason):
         """Abort an open transaction; its next statement fails."""
         if self.state is State.OPEN:
@@ -398,6 +493,9 @@
                 conn.release(usable=False)
                 self._outcome_unknown = True
                 return self._unknown_outcome_answer(req, conn, exc)
+            except BaseException:
+                conn.release(usable=False)
+                raise
             conn.release(usable=answer.state is State.IDLE)
             if answer.problem in dispatch.NOT_RUN:
                 req.record_failure(conn.target.name, answer.problem.value)
@@ -560,6 +658,9 @@
             except (exceptions.NotRunError, exceptions.TargetError) as exc:
                 conn.release(usable=False)
                 req.record_failure(conn.target.name, exc)
+            except BaseException:
+                conn.release(usable=False)
+                raise
             else:
                 if answer.problem is None and answer.state is State.OPEN:
                     transaction.conn = conn
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -4,14 +4,18 @@
 
 import testtools
 
+from balsamhinge.controllers import clock
 from balsamhinge.platform import callers
 from balsamhinge.platform import wire
+from balsamhinge.policy import shutdown
 from tests.platform import test_daemon
 from tests.support import virtual
 
 POLL_S = 0.01
 # Long enough for a statement to be under way at any moment of a stop.
 WORK_S = 0.05
+# More than the sockets' buffers hold.
+ANSWER = bytes(32 * 1024 * 1024)
 
 
 class Caller:
@@ -66,6 +70,10 @@
             asyncio.run(run())
         self.assertEqual([], ended.lines)
 
+    def connections(self, platform):
+        """Return the instance's connections from callers."""
+        return platform.daemon._callers.connections
+
     async def open_callers(self, platform, databases):
         return [
             Caller(await platform.session(database), f"{database}{number}")
@@ -83,6 +91,14 @@
         for caller in opened:
             self.assertEqual(set(), received & set(caller.unanswered))
 
+    async def wait_shutdown(self, platform, has_begun):
+        """Wait until a stage of the shutdown has begun."""
+        while True:
+            schedule = platform.daemon.fleet.shutdown
+            if schedule is not None and has_begun(schedule):
+                return schedule
+            await asyncio.sleep(POLL_S)
+
 
 class StoppingInstanceTest(CallersTestCase):
     """Callers of an instance that has received SIGTERM."""
@@ -107,6 +123,8 @@
     # Guards against a stop that closes a session in the middle of a
     # statement: callers whose sessions were never idle got no answer.
     def test_busy_sessions_are_refused_before_they_are_closed(self):
+        self.patch(callers, "MIN_IDLE_S", test_daemon.HANG_TIMEOUT_S)
+
         async def scenario(platform):
             for target in platform.group.targets.values():
                 target.knobs.work_s = WORK_S
@@ -127,3 +145,99 @@
                 self.assertTrue(await caller.is_closed())
 
         self.run_platform(scenario)
+
+    # Guards against a stop that closes an open transaction as its next
+    # statement arrives: the caller was not told that nothing was kept.
+    def test_late_statement_of_a_transaction_is_aborted(self):
+        async def scenario(platform):
+            opened = await self.open_callers(platform, ["posts"] * 2)
+            for caller in opened:
+                await caller.request("BEGIN")
+                await caller.request("WRITE a 1")
+            platform.daemon.request_stop()
+            await self.wait_shutdown(
+                platform, lambda s: s.aborts_transactions(clock.now())
+            )
+            answers = [
+                await caller.request(text)
+                for caller, text in zip(
+                    opened, ("WRITE b 1", "COMMIT"), strict=True
+                )
+            ]
+            for answer, state in zip(answers, "EI", strict=True):
+                self.assertTrue(answer[0].startswith("ERROR ABORTED"), answer)
+                self.assertTrue(answer[1].startswith(f"READY {state}"), answer)
+            self.assertEqual([], platform.group.primary.log)
+
+        self.run_platform(scenario)
+
+    # Guards against a transaction that is cut off, or refused, although a
+    # stop leaves it time to commit.
+    def test_open_transaction_can_commit_while_new_ones_are_refused(self):
+        async def scenario(platform):
+            opened = await self.open_callers(platform, ["posts", "posts"])
+            await opened[0].request("BEGIN")
+            await opened[0].request("WRITE a 1")
+            busy = asyncio.ensure_future(
+                opened[1].request_until_refused("READ a")
+            )
+            platform.daemon.request_stop()
+            await self.wait_shutdown(
+                platform, lambda s: s.refuses_operations(clock.now())
+            )
+            answer = await opened[0].request("COMMIT")
+            self.assertEqual("COMPLETE s", answer[0])
+            await busy
+            self.assertEqual(["BUSY"], opened[1].problems)
+            self.assertTrue(await opened[0].is_closed())
+
+        self.run_platform(scenario)
+
+    # Guards against a stop that leaves the caller of a statement without an
+    # answer because the target gives none.
+    def test_statement_without_an_answer_is_given_up_before_the_end(self):
+        async def scenario(platform):
+            write, transaction = await self.open_callers(
+                platform, ["posts"] * 2
+            )
+            await transaction.request("BEGIN")
+            await transaction.request("READ a")
+            for target in platform.group.targets.values():
+                target.knobs.lose_answers = 3
+            # The statements' own timeout ends after the grace time.
+            running = [
+                asyncio.ensure_future(caller.request("WRITE a 1"))
+                for caller in (write, transaction)
+            ]
+            while not all(conn._task for conn in self.connections(platform)):
+                await asyncio.sleep(POLL_S)
+            platform.daemon.request_stop()
+            answers = await asyncio.gather(*running)
+            self.assertTrue(answers[0][0].startswith("ERROR INDOUBT"), answers)
+            self.assertTrue(answers[1][0].startswith("ERROR ABORTED"), answers)
+            self.assertTrue(await write.is_closed())
+
+        self.run_platform(scenario)
+
+    # Guards against an answer that is discarded because the process ends
+    # before it is sent.
+    def test_process_does_not_end_before_its_answers_are_sent(self):
+        self.patch(shutdown, "CONNECTIONS_SHARE", test_daemon.HANG_TIMEOUT_S)
+
+        async def scenario(platform):
+            client = await platform.session("posts")
+            (conn,) = self.connections(platform)
+            conn._write(ANSWER)
+            remaining = []
+            platform.running.add_done_callback(
+                lambda _fut: remaining.append(len(self.connections(platform)))
+            )
+            platform.daemon.request_stop()
+            await self.wait_shutdown(
+                platform, lambda s: clock.now() > s.answer_by
+            )
+            self.assertEqual(len(ANSWER), len(await client.reader.read()))
+            await platform.running
+            self.assertEqual([0], remaining)
+
+        self.run_platform(scenario)
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -6,6 +6,7 @@
 import logbook
 import testtools
 
+from balsamhinge.controllers import clock
 from balsamhinge import ctl
 from balsamhinge import exceptions
 from balsamhinge import logs
@@ -13,6 +14,7 @@
 from balsamhinge.platform import objects
 from balsamhinge.platform import settings
 from balsamhinge.policy import ownership
+from balsamhinge.policy import shutdown
 from balsamhinge.standins import records
 from balsamhinge.standins import replicas
 from tests.platform import standins
@@ -132,7 +134,10 @@
     def test_a_session_accepted_during_a_drain_is_drained(self):
         async def scenario(platform):
             callers = platform.daemon._callers
-            draining = asyncio.ensure_future(callers.drain(HANG_TIMEOUT_S))
+            schedule = shutdown.ShutdownSchedule.from_grace(
+                clock.now(), HANG_TIMEOUT_S
+            )
+            draining = asyncio.ensure_future(callers.drain(schedule))
             # The drain finds no session.
             await asyncio.sleep(0)
             client = await platform.session("posts")
