Answer requests that fail with an unexpected error

The task of a connection ended with the error: its caller waited for an answer until its own deadline, the session passed for idle, and the next stop closed it.

The error is logged by its type and place, as its text may hold a key; the caller is told that a write or a commit is in doubt, that another statement of a transaction is aborted, or that the statement failed; and the session is closed.

Result: the test hung before until its limit, and passes.

--- a/balsamhinge/platform/callers.py
+++ b/balsamhinge/platform/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import traceback
 
 import logbook
 
@@ -210,13 +211,8 @@
                 if len(self._pending_lines) <= MAX_QUEUED_REQUESTS:
                     self._transport.resume_reading()
         except Exception as exc:
-            event(
-                log.error,
-                "request_failed",
-                request_id=self._request_id,
-                error=f"{type(exc).__name__} {exc}",
-            )
-            raise
+            self._log_failure(exc)
+            self._refuse(Problem.BUSY, "internal error")
         finally:
             self._task = None
             self._last_active_at = clock.now()
@@ -250,6 +246,21 @@
         else:
             self._transport.write(data)
 
+    def _log_failure(self, exc):
+        """Log an error that no handler expected.
+
+        Its text may contain a customer's key.
+        """
+        frame = traceback.extract_tb(exc.__traceback__)[-1]
+        event(
+            log.error,
+            "request_failed",
+            request_id=self._request_id,
+            error=type(exc).__name__,
+            function=frame.name,
+            line=frame.lineno,
+        )
+
     def _log_unanswered(self, name):
         """Log what is known of a request without a regular answer."""
         event(
@@ -336,6 +347,10 @@
             self._log_unanswered("request_given_up")
             self._finishing = True
             return self._session.give_up(statement, Problem.TIMEOUT)
+        except Exception as exc:
+            self._log_failure(exc)
+            self._finishing = True
+            return self._session.give_up(statement, Problem.FAILED)
         finally:
             self._answer_timeout = None
 
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -8,6 +8,7 @@
 from balsamhinge.platform import callers
 from balsamhinge.platform import wire
 from balsamhinge.policy import shutdown
+from balsamhinge.sessions import session
 from tests.platform import test_daemon
 from tests.support import virtual
 
@@ -241,3 +242,27 @@
             self.assertEqual([0], remaining)
 
         self.run_platform(scenario)
+
+
+class RequestErrorTest(CallersTestCase):
+    """Requests whose connection or session fails."""
+
+    # Guards against a request that is never answered because of an error
+    # that nobody expected.
+    def test_unexpected_error_is_answered(self):
+        async def scenario(platform):
+            async def fail(_session, _request_id, _statement):
+                raise LookupError("a fault")
+
+            self.patch(session.Session, "answer", fail)
+            for text, code in (
+                ("READ a", "FAILED"),
+                ("WRITE a 1", "INDOUBT"),
+                ("COMMIT", "INDOUBT"),
+            ):
+                (caller,) = await self.open_callers(platform, ["posts"])
+                await caller.request(text)
+                self.assertEqual([code], caller.problems)
+                self.assertTrue(await caller.is_closed())
+
+        self.run_platform(scenario)
