Answer running requests before a message that is too long is refused

A message that cannot be read closed its connection at once, and the answer to a request that the caller had sent before was dropped.

The refusal now waits for its turn. Result: the test failed before (the caller got TOOLARGE instead of the answer), and passes.

--- a/balsamhinge/platform/callers.py
+++ b/balsamhinge/platform/callers.py
@@ -164,6 +164,8 @@
         self._last_active_at = clock.now()
         # Whether to close the connection when all requests are answered.
         self._finishing = False
+        # Why a message could not be read; nothing is read after it.
+        self._unreadable = ""
         self._closing = False
         self._writable = asyncio.Event()
         self._writable.set()
@@ -192,11 +194,14 @@
     def data_received(self, data):
         """See `asyncio.Protocol`."""
         try:
-            lines = self._buffer.feed(data)
+            self._pending_lines.extend(self._buffer.feed(data))
         except exceptions.ProtocolError as exc:
-            self._refuse(Problem.TOO_LARGE, str(exc))
+            # Requests that came before are answered first.
+            self._unreadable = str(exc)
+            self._transport.pause_reading()
+            if self._task is None:
+                self._refuse(Problem.TOO_LARGE, self._unreadable)
             return
-        self._pending_lines.extend(lines)
         if len(self._pending_lines) > MAX_QUEUED_REQUESTS:
             self._transport.pause_reading()
         if self._task is None and self._pending_lines:
@@ -208,8 +213,13 @@
             while self._pending_lines and not self._closing:
                 await self._handle_line(self._pending_lines.popleft())
                 await self._writable.wait()
-                if len(self._pending_lines) <= MAX_QUEUED_REQUESTS:
+                if (
+                    len(self._pending_lines) <= MAX_QUEUED_REQUESTS
+                    and not self._unreadable
+                ):
                     self._transport.resume_reading()
+            if self._unreadable and not self._closing:
+                self._refuse(Problem.TOO_LARGE, self._unreadable)
         except Exception as exc:
             self._log_failure(exc)
             self._refuse(Problem.BUSY, "internal error")
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -266,3 +266,17 @@
                 self.assertTrue(await caller.is_closed())
 
         self.run_platform(scenario)
+
+    # Guards against a running request whose answer is dropped since a later
+    # message of its caller cannot be read.
+    def test_request_before_a_message_that_is_too_long_is_answered(self):
+        async def scenario(platform):
+            client = await platform.session("posts")
+            client.writer.write(b"QUERY 1 WRITE a 1\r\n")
+            await client.writer.drain()
+            client.writer.write(b"x" * (wire.MAX_LINE_BYTES + 1))
+            self.assertEqual("COMPLETE s", (await client.read_answer())[0])
+            refused = await client.read_answer()
+            self.assertTrue(refused[0].startswith("ERROR TOOLARGE"))
+
+        self.run_platform(scenario)
