Answer requests whose caller has closed its sending side

A caller that ends its stream after its last request got no answer to it: the connection was closed as soon as the end of the stream arrived.

The connection stays open until the requests that came before are answered. Result: the test failed before (no answer), and passes.

--- a/balsamhinge/platform/callers.py
+++ b/balsamhinge/platform/callers.py
@@ -207,6 +207,17 @@
         if self._task is None and self._pending_lines:
             self._task = asyncio.ensure_future(self._process_lines())
 
+    def eof_received(self):
+        """Answer the requests that came before the end of the stream.
+
+        Returns
+        -------
+        bool
+            Whether to keep the connection open.
+        """
+        self._finishing = True
+        return self._task is not None
+
     async def _process_lines(self):
         """Process the received lines one by one."""
         try:
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -280,3 +280,16 @@
             self.assertTrue(refused[0].startswith("ERROR TOOLARGE"))
 
         self.run_platform(scenario)
+
+    # Guards against a request whose answer is dropped since its caller sends
+    # nothing more.
+    def test_request_before_the_end_of_the_stream_is_answered(self):
+        async def scenario(platform):
+            client = await platform.session("posts")
+            client.writer.write(b"QUERY 1 WRITE a 1\r\nQUERY 2 READ a\r\n")
+            client.writer.write_eof()
+            self.assertEqual("COMPLETE s", (await client.read_answer())[0])
+            self.assertEqual("DATA 1", (await client.read_answer())[0])
+            self.assertEqual(b"", await client.reader.read())
+
+        self.run_platform(scenario)
