Wait for accepted requests when a connection host stops

What callers saw: a statement whose instance had sent it to a stopping host was cut there and had to be sent again elsewhere, although the host had accepted it. Cause: the drain of a host looked at loans only. A request that waits for a connection, because the target is slow to accept one, has no loan yet; the drain returned and the pools were closed under it. Ruled out: requests that arrive after the stop, which are refused at once. Change: the host counts the requests that it handles, and the drain waits for them as well as for loans, up to the same deadline. Evidence: test_a_stopping_host_runs_statements_that_wait_for_a_connection failed before with 'the target has left'; the tests of the file pass now (10).

--- a/balsamhinge/sessions/connectionloans.py
+++ b/balsamhinge/sessions/connectionloans.py
@@ -1,5 +1,6 @@
 """Connection loans: hosts lend target connections to other instances."""
 
+import contextlib
 import itertools
 
 import attrs
@@ -88,6 +89,8 @@
         self._fleet = fleet
         self._loan_numbers = itertools.count(1)
         self._loans = {}
+        # Number of requests of borrowers that are being handled.
+        self._open_requests = 0
         # Maps the name of each avoided host to its data centre, or to ""
         # if the host is stopping.
         self._avoided_hosts = {}
@@ -423,18 +426,35 @@
     async def drain(self, deadline):
         """Wait until all loans to other instances have ended.
 
+        A request that was accepted before the stop may still wait for a
+        connection; its loan begins later.
+
         Parameters
         ----------
         deadline : float
             Latest time to return, in loop seconds, even if loans remain.
         """
-        while self._loans and clock.now() < deadline:
+        while self._is_in_use() and clock.now() < deadline:
             await clock.pause(DRAIN_POLL_INTERVAL_S)
 
+    def _is_in_use(self):
+        """Return whether another instance uses or waits for a connection."""
+        return bool(self._loans) or self._open_requests > 0
+
+    @contextlib.contextmanager
+    def _count_request(self):
+        """Count a request of a borrower until its reply is ready."""
+        self._open_requests += 1
+        try:
+            yield
+        finally:
+            self._open_requests -= 1
+
     async def lend(self, request):
         """Handle a `BorrowRequest` and return the `BorrowReply`."""
         deadline = clock.now() + max(request.deadline_s, request.patience_s)
-        reply = await self._lend(request, deadline)
+        with self._count_request():
+            reply = await self._lend(request, deadline)
         if reply.loan:
             # The borrower's statement gets a permit when it arrives.
             self._loans[reply.loan].conn.end_permit()
@@ -522,6 +542,10 @@
 
     async def run(self, request):
         """Handle a `RunRequest` and return the `RunReply`."""
+        with self._count_request():
+            return await self._run(request)
+
+    async def _run(self, request):
         started_at = clock.now()
         loan_number = request.loan
         if not loan_number:
--- a/tests/sessions/test_connectionloans.py
+++ b/tests/sessions/test_connectionloans.py
@@ -5,6 +5,7 @@
 from balsamhinge.controllers import clock
 from balsamhinge.policy import loans
 from balsamhinge.policy import statements
+from balsamhinge.policy import workload
 from balsamhinge.sessions import connectionloans
 from balsamhinge.standins import replicas
 from tests.support import virtual
@@ -14,6 +15,8 @@
 Access = statements.Access
 Direct = statements.Direct
 State = statements.State
+# Duration of the handshake of a target that is slow to accept.
+CONNECT_S = 0.4
 # More instances than connections to a target.
 SHARED_CONNECTIONS = {"instances": 7, "connections": 12}
 
@@ -31,6 +34,27 @@
     return next(name for name in sorted(world.fleets) if name not in hosts)
 
 
+def borrow_request(world, host, customer=""):
+    """Return the request to borrow a connection to the primary."""
+    leadership = host.leaders.latest(world.group.name)
+    return loans.BorrowRequest(
+        world.group.primary.name,
+        leadership.epoch,
+        2.0,
+        True,
+        workload.Workload(customer=customer),
+        2.0,
+    )
+
+
+def run_request(statement, loan=0, borrow=None):
+    """Return the request to run a statement on a loan or a new one."""
+    name, fields = loans.encode_statement(statement)
+    return loans.RunRequest(
+        loan, borrow, name, fields, "r", None, {}, None, 2.0
+    )
+
+
 class PeakLoadTest(virtual.FleetTestCase):
     """Peak load with more instances than connections to a target."""
 
@@ -183,6 +207,33 @@
 
         self.run_fleet(scenario, **SHARED_CONNECTIONS)
 
+    # Guards against an accepted statement that a planned stop of its host
+    # cuts: it waited for a connection, and the drain saw no loan.
+    def test_a_stopping_host_runs_statements_that_wait_for_a_connection(self):
+        async def scenario(world):
+            host = world.fleets[hosts_of_primary(world)[0].name]
+            connect = replicas.ReplicaTargetLink.connect
+
+            async def connect_slowly(link, target, timeout_s, customer=""):
+                await asyncio.sleep(CONNECT_S)
+                return await connect(link, target, timeout_s, customer)
+
+            self.patch(replicas.ReplicaTargetLink, "connect", connect_slowly)
+            request = run_request(
+                Direct(Access.WRITE, "k 1"),
+                borrow=borrow_request(world, host, customer="new"),
+            )
+            running = asyncio.ensure_future(host.connection_loans.run(request))
+            await asyncio.sleep(CONNECT_S / 2)
+            host.stopping = True
+            await host.connection_loans.drain(clock.now() + 5.0)
+            await host.halt()
+            reply = await running
+            self.assertIsNotNone(reply.answer, reply.detail)
+            self.assertIsNone(reply.answer.problem)
+
+        self.run_fleet(scenario, **SHARED_CONNECTIONS)
+
     def test_loans_of_a_dead_borrower_are_reclaimed(self):
         async def scenario(world):
             name = non_host_of_primary(world)
