Run lent orders to their end when a connection host stops

What callers saw: a statement that ran at a stopping host as the host's time for open transactions ended got no answer; a COMMIT was reported as in doubt. Cause: at its deadline the drain returned at once and the host closed its connections. Loans between two statements were not ended, so the host accepted further orders on them until the connections were gone. Change: `drain` takes a second time, the cutoff. At the deadline loans end: later orders on them are refused as not run, which is an aborted transaction at the borrower. Orders that run are waited for until the cutoff. What is left is logged (drain_incomplete). Without a cutoff the drain ends at the deadline, as before. Open: the platform daemon passes no cutoff yet.

--- a/balsamhinge/sessions/connectionloans.py
+++ b/balsamhinge/sessions/connectionloans.py
@@ -91,6 +91,8 @@
         self._loans = {}
         # Number of requests of borrowers that are being handled.
         self._open_requests = 0
+        # Whether statements may still run on loans.
+        self._accepts_orders = True
         # Maps the name of each avoided host to its data centre, or to ""
         # if the host is stopping.
         self._avoided_hosts = {}
@@ -423,7 +425,7 @@
                 )
                 self.end_loan(loan_number, usable=unused)
 
-    async def drain(self, deadline):
+    async def drain(self, deadline, cutoff=None):
         """Wait until all loans to other instances have ended.
 
         A request that was accepted before the stop may still wait for a
@@ -432,10 +434,28 @@
         Parameters
         ----------
         deadline : float
-            Latest time to return, in loop seconds, even if loans remain.
+            Loop seconds until which loans may go on. Later statements on
+            them are refused, so an open transaction is aborted.
+        cutoff : float, optional
+            Latest time to return, in loop seconds, even if statements are
+            still running; `deadline` by default.
         """
+        cutoff = deadline if cutoff is None else cutoff
         while self._is_in_use() and clock.now() < deadline:
             await clock.pause(DRAIN_POLL_INTERVAL_S)
+        self._accepts_orders = False
+        while self._open_requests and clock.now() < cutoff:
+            await clock.pause(DRAIN_POLL_INTERVAL_S)
+        if self._is_in_use():
+            event(
+                log.warning,
+                "drain_incomplete",
+                loans=len(self._loans),
+                requests=self._open_requests,
+            )
+        for loan_number, loan in list(self._loans.items()):
+            if not loan.running:
+                self.end_loan(loan_number, usable=False)
 
     def _is_in_use(self):
         """Return whether another instance uses or waits for a connection."""
@@ -560,7 +580,8 @@
                     waits_s=reply.waits_s,
                 )
         loan = self._loans.get(loan_number)
-        if loan is None or loan.running:
+        has_ended = bool(request.loan) and not self._accepts_orders
+        if loan is None or loan.running or has_ended:
             return loans.RunReply(detail="the loan has ended")
         loan.running = True
         usable = False
--- a/tests/sessions/test_connectionloans.py
+++ b/tests/sessions/test_connectionloans.py
@@ -17,6 +17,8 @@
 State = statements.State
 # Duration of the handshake of a target that is slow to accept.
 CONNECT_S = 0.4
+# Duration of a slow statement.
+WORK_S = 0.4
 # More instances than connections to a target.
 SHARED_CONNECTIONS = {"instances": 7, "connections": 12}
 
@@ -234,6 +236,82 @@
 
         self.run_fleet(scenario, **SHARED_CONNECTIONS)
 
+    # Guards against a statement that is cut when its host has waited for as
+    # long as it may for open transactions: it was running at that moment.
+    def test_a_stopping_host_ends_idle_loans_and_runs_orders_to_their_end(
+        self,
+    ):
+        async def scenario(world):
+            host = world.fleets[hosts_of_primary(world)[0].name]
+            controller = host.connection_loans
+            idle, busy = [
+                await controller.run(
+                    run_request(
+                        statements.Begin(),
+                        borrow=borrow_request(world, host),
+                    )
+                )
+                for _ in range(2)
+            ]
+            host.stopping = True
+            deadline = clock.now() + 1.0
+            draining = asyncio.ensure_future(
+                controller.drain(deadline, deadline + 1.0)
+            )
+            await asyncio.sleep(1.0 - WORK_S / 2)
+            world.group.primary.knobs.work_s = WORK_S
+            running = asyncio.ensure_future(
+                controller.run(
+                    run_request(Direct(Access.WRITE, "k 1"), busy.loan)
+                )
+            )
+            await asyncio.sleep(WORK_S * 0.75)
+            refused = await controller.run(
+                run_request(statements.Commit(), idle.loan)
+            )
+            self.assertIsNone(refused.answer)
+            self.assertFalse(refused.may_have_run)
+            self.assertFalse(draining.done())
+            await draining
+            self.assertTrue(running.done())
+            reply = await running
+            self.assertIsNone(reply.answer.problem)
+            # The transaction is still the borrower's: its next statement
+            # must not get another connection.
+            self.assertEqual(busy.loan, reply.loan)
+            refused = await controller.run(
+                run_request(statements.Commit(), busy.loan)
+            )
+            self.assertIsNone(refused.answer)
+            self.assertFalse(refused.may_have_run)
+            self.assertEqual({}, controller._loans)
+
+        self.run_fleet(scenario, **SHARED_CONNECTIONS)
+
+    # Guards against a host that waits for an order beyond its grace time.
+    def test_a_stopping_host_does_not_wait_beyond_the_cutoff(self):
+        async def scenario(world):
+            host = world.fleets[hosts_of_primary(world)[0].name]
+            controller = host.connection_loans
+            world.group.primary.knobs.work_s = 1.5
+            running = asyncio.ensure_future(
+                controller.run(
+                    run_request(
+                        Direct(Access.WRITE, "k 1"),
+                        borrow=borrow_request(world, host),
+                    )
+                )
+            )
+            await asyncio.sleep(0.1)
+            host.stopping = True
+            started_at = clock.now()
+            await controller.drain(started_at + 0.5, started_at + 0.8)
+            self.assertAlmostEqual(0.8, clock.now() - started_at, delta=0.1)
+            self.assertFalse(running.done())
+            await running
+
+        self.run_fleet(scenario, **SHARED_CONNECTIONS)
+
     def test_loans_of_a_dead_borrower_are_reclaimed(self):
         async def scenario(world):
             name = non_host_of_primary(world)
