Return borrowed connections before an instance ends

What callers saw: nothing directly. A host kept the connection and the open transaction, with its locks, of a borrower that had stopped as planned, until the transaction had been idle for longer than the limit and 2 s; if the host was stopping too, its own stop waited for that loan until its deadline. Cause: loans are returned by tasks in the background, which the end of the instance cancelled. Open: the platform daemon passes no cutoff yet; without one nothing is waited for beyond the deadline.

--- a/balsamhinge/sessions/connectionloans.py
+++ b/balsamhinge/sessions/connectionloans.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import itertools
+import weakref
 
 import attrs
 import logbook
@@ -93,6 +94,10 @@
         self._open_requests = 0
         # Whether statements may still run on loans.
         self._accepts_orders = True
+        # Connections of hosts that sessions of this instance use, and the
+        # tasks that return them.
+        self._borrowed = weakref.WeakSet()
+        self._returns = set()
         # Maps the name of each avoided host to its data centre, or to ""
         # if the host is stopping.
         self._avoided_hosts = {}
@@ -163,9 +168,11 @@
             if not self._fleet.leaders.is_valid(leadership):
                 raise connections.LeaseLost("the primary's lease has lapsed")
             self._fleet.leaders.begin_work(leadership)
-        return connections.RemoteConnection(
+        conn = connections.RemoteConnection(
             self._fleet, target, host, request, leadership
         )
+        self._borrowed.add(conn)
+        return conn
 
     def _patience_s(self, target, workload, deadline):
         """Return how long a host may wait for a connection, in seconds."""
@@ -401,7 +408,9 @@
                 # The host reclaims the loan when it has been idle.
                 event(log.info, "loan_not_ended", host=host.name, error=exc)
 
-        self._fleet.spawn(give_back())
+        task = self._fleet.spawn(give_back())
+        self._returns.add(task)
+        task.add_done_callback(self._returns.discard)
 
     # Host's side.
 
@@ -426,10 +435,12 @@
                 self.end_loan(loan_number, usable=unused)
 
     async def drain(self, deadline, cutoff=None):
-        """Wait until all loans to other instances have ended.
+        """Wait until all loans to and from other instances have ended.
 
         A request that was accepted before the stop may still wait for a
-        connection; its loan begins later.
+        connection; its loan begins later. Sessions of this instance must
+        have ended; connections that they borrowed may still be rolled back
+        and returned.
 
         Parameters
         ----------
@@ -444,7 +455,7 @@
         while self._is_in_use() and clock.now() < deadline:
             await clock.pause(DRAIN_POLL_INTERVAL_S)
         self._accepts_orders = False
-        while self._open_requests and clock.now() < cutoff:
+        while self._is_finishing() and clock.now() < cutoff:
             await clock.pause(DRAIN_POLL_INTERVAL_S)
         if self._is_in_use():
             event(
@@ -461,6 +472,13 @@
         """Return whether another instance uses or waits for a connection."""
         return bool(self._loans) or self._open_requests > 0
 
+    def _is_finishing(self):
+        """Return whether an order runs, or a host waits for a return."""
+        is_borrowing = any(
+            conn.loan and not conn.released for conn in self._borrowed
+        )
+        return self._open_requests > 0 or is_borrowing or bool(self._returns)
+
     @contextlib.contextmanager
     def _count_request(self):
         """Count a request of a borrower until its reply is ready."""
--- a/tests/sessions/test_connectionloans.py
+++ b/tests/sessions/test_connectionloans.py
@@ -312,6 +312,26 @@
 
         self.run_fleet(scenario, **SHARED_CONNECTIONS)
 
+    # Guards against a transaction that stays open at its host, and holds up
+    # the host's own stop, because its borrower stopped before it had told.
+    def test_a_stopping_borrower_returns_its_loans(self):
+        async def scenario(world):
+            name = non_host_of_primary(world)
+            borrower = world.fleets[name]
+            caller = world.caller(name, "posts")
+            await caller.ask(statements.Begin())
+            await caller.ask(Direct(Access.WRITE, "k 2"))
+            host = next(
+                h for h in world.fleets.values() if h.connection_loans._loans
+            )
+            caller.session.close()
+            now = clock.now()
+            await borrower.connection_loans.drain(now, now + 1.0)
+            await world.kill(name)
+            self.assertEqual({}, host.connection_loans._loans)
+
+        self.run_fleet(scenario, **SHARED_CONNECTIONS)
+
     def test_loans_of_a_dead_borrower_are_reclaimed(self):
         async def scenario(world):
             name = non_host_of_primary(world)
