Send the replies of lent statements before the streams close

What callers saw: a statement or COMMIT that a stopping host had run was in doubt, or was repeated, as its reply did not arrive. Cause: the stream server's stop cancels running calls and aborts the streams, which drops what is still in their buffers. A call that arrived meanwhile looked to its sender as if it might have run. The calling side fails later calls as not sent. Open: the platform daemon does not call it yet.

--- a/balsamhinge/peers/streams.py
+++ b/balsamhinge/peers/streams.py
@@ -30,6 +30,9 @@
 # time. Calls have timeouts of their own, so this one may be coarse.
 UNACKNOWLEDGED_TIMEOUT_MS = 3000
 LISTEN_BACKLOG = 1024
+# Part of the time for a drain that is left for the sending of replies, and
+# the wait for peers to close streams whose replies have all been sent.
+FLUSH_TIMEOUT_S = 0.2
 
 log = logbook.Logger(__name__)
 
@@ -45,6 +48,8 @@
     RUN = 5
     GIVE_BACK = 6
     ALLOWANCE = 7
+    # The server handles no call after the one whose number is the body.
+    CLOSING = 8
 
 
 class Frame(msgspec.Struct, array_like=True):
@@ -67,6 +72,7 @@
 
 FRAME_DECODER = msgspec.msgpack.Decoder(Frame)
 HELLO_DECODER = msgspec.msgpack.Decoder(str)
+NUMBER_DECODER = msgspec.msgpack.Decoder(int)
 
 
 def encode_frame(number, method, message):
@@ -151,7 +157,7 @@
     opened_at, used_at : float
         Loop seconds of the opening and of the latest call.
     closed : bool
-        Whether the connection has ended.
+        Whether the connection has ended or the peer handles no more calls.
     """
 
     def __init__(self, name, secret):
@@ -184,6 +190,9 @@
 
     def handle_frame(self, frame):
         """Complete the call to which a frame belongs."""
+        if frame.method == Method.CLOSING:
+            self._handle_closing(NUMBER_DECODER.decode(frame.body))
+            return
         fut = self._calls.pop(frame.number, None)
         if fut is None or fut.done():
             return
@@ -192,6 +201,15 @@
         else:
             fut.set_exception(exceptions.PeerUnavailable(self._name, True))
 
+    def _handle_closing(self, last_handled):
+        """Fail the calls that a stopping peer has not handled."""
+        self.closed = True
+        for number, fut in list(self._calls.items()):
+            if number > last_handled and not fut.done():
+                fut.set_exception(
+                    exceptions.PeerUnavailable(self._name, False)
+                )
+
     async def call(self, method, message, until):
         """Send a request and return the encoded answer.
 
@@ -277,6 +295,9 @@
         super().__init__()
         self._server = server
         self._accepted = False
+        self._last_handled = 0
+        self.is_finished = False
+        self.ended = asyncio.get_running_loop().create_future()
 
     def connection_made(self, transport):
         """See `asyncio.Protocol`."""
@@ -286,12 +307,30 @@
     def connection_lost(self, exc):
         """See `asyncio.Protocol`."""
         self._server.streams.discard(self)
+        self.ended.set_result(None)
+
+    def finish(self):
+        """Handle no more calls, and end the stream after the last reply.
+
+        Input is read and discarded until the peer closes its side: closing
+        a socket with unread input resets the connection, and the peer may
+        lose replies that it has not read.
+        """
+        if self.is_finished or self.transport.is_closing():
+            return
+        self._send_frame(0, Method.CLOSING, self._last_handled)
+        self.is_finished = True
+        if not self.transport.is_closing():
+            self.transport.write_eof()
 
     def handle_frame(self, frame):
         """Serve a request; the first frame must carry the secret."""
+        if self.is_finished:
+            return
         if not self._accepted:
             self._accept(frame)
             return
+        self._last_handled = frame.number
         handler = self._server.handlers.get(frame.method)
         if handler is None:
             raise exceptions.ProtocolError(f"unknown method {frame.method}")
@@ -323,7 +362,7 @@
         self._reply(frame, answer)
 
     def _reply(self, frame, answer):
-        self._send(frame, Method.REPLY, answer)
+        self._send_frame(frame.number, Method.REPLY, answer)
 
     def _fail(self, frame, exc):
         event(
@@ -332,19 +371,26 @@
             method=Method(frame.method).name,
             error=f"{type(exc).__name__} {exc}",
         )
-        self._send(frame, Method.FAILED, None)
+        self._send_frame(frame.number, Method.FAILED, None)
 
-    def _send(self, frame, method, message):
-        if self.transport.is_closing():
+    def _send_frame(self, number, method, message):
+        if self.is_finished or self.transport.is_closing():
             # The caller has gone; a loan that it never learnt of is
             # reclaimed when it stays unused.
             return
         try:
-            self.send(frame.number, method, message)
+            self.send(number, method, message)
         except exceptions.ProtocolError as exc:
             event(log.warning, "peer_stream_stalled", error=exc)
 
 
+async def wait_ended(served, until):
+    """Wait until each `ServedStream` has ended, or until a loop time."""
+    ending = [stream.ended for stream in served]
+    if ending:
+        await asyncio.wait(ending, timeout=max(0.0, until - clock.now()))
+
+
 class StreamServer:
     """Serves calls of other instances.
 
@@ -385,6 +431,34 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def drain(self, until):
+        """Answer all calls and send the replies before a planned stop.
+
+        Parameters
+        ----------
+        until : float
+            Latest time to return, in loop seconds.
+        """
+        if self._server is not None:
+            self._server.close()
+        while self._tasks and clock.now() < until - FLUSH_TIMEOUT_S:
+            await asyncio.wait(
+                self._tasks, timeout=until - FLUSH_TIMEOUT_S - clock.now()
+            )
+        if self._tasks:
+            event(log.warning, "peer_calls_cut", calls=len(self._tasks))
+        finished = list(self.streams)
+        for stream in finished:
+            stream.finish()
+        # A peer that is frozen or cut off does not close its side.
+        await wait_ended(finished, min(until, clock.now() + FLUSH_TIMEOUT_S))
+        unsent = [
+            stream
+            for stream in self.streams
+            if stream.transport.get_write_buffer_size()
+        ]
+        await wait_ended(unsent, until)
+
     def stop(self):
         """Stop at once, cancelling running calls."""
         if self._server is not None:
--- a/tests/peers/test_streams.py
+++ b/tests/peers/test_streams.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from balsamhinge.controllers import clock
 from balsamhinge import exceptions
 from balsamhinge.peers import fleet
 from balsamhinge.peers import security
@@ -18,11 +19,13 @@
 from balsamhinge.policy import statements
 from tests.support import real
 
-__all__ = ["StreamCallTest", "StreamFailureTest"]
+__all__ = ["StreamCallTest", "StreamFailureTest", "StreamStopTest"]
 
 SECRET = "s"
 # Longer than the time for which a stream was kept after a late answer.
 RETIRED_S = 2.2
+# Bytes of a reply that does not fit into the buffers of the sockets.
+LARGE_REPLY = 7_000_000
 Message = gossipmessages.GossipMessage
 
 
@@ -33,6 +36,7 @@
         self.ended = []
         self.started = asyncio.Event()
         self.release = asyncio.Event()
+        self.answer = statements.Answer()
 
     async def lend(self, request):
         """See `ConnectionLoanController.lend`."""
@@ -44,7 +48,7 @@
         """See `ConnectionLoanController.run`."""
         self.started.set()
         await self.release.wait()
-        return loans.RunReply(statements.Answer(), request.loan)
+        return loans.RunReply(self.answer, request.loan)
 
     def serve_allowance(self, request):
         """See `CustomerLimitsController.serve`."""
@@ -72,6 +76,10 @@
         )
         self.client = make_client(self.port, secret)
 
+    async def drain(self):
+        """Finish all calls, as before a planned stop."""
+        await self.server.drain(clock.now() + real.LIMIT_S)
+
     @contextlib.asynccontextmanager
     async def running(self):
         """Listen, and close everything at the end."""
@@ -190,6 +198,96 @@
         self.run_peer(scenario)
 
 
+class StreamStopTest(testtools.TestCase):
+    """Calls to an instance that stops as planned."""
+
+    def run_peer(self, scenario):
+        async def run():
+            async with Peer().running() as peer:
+                return await scenario(peer)
+
+        return real.run_real(run())
+
+    # Guards against a lent statement that is cut as its host stops.
+    def test_running_call_is_answered_before_the_stop(self):
+        async def scenario(peer):
+            client, member = peer.client, peer.member
+            call = asyncio.ensure_future(
+                client.run(member, run_request(7), real.LIMIT_S)
+            )
+            await peer.lender.started.wait()
+            draining = asyncio.ensure_future(peer.drain())
+            await asyncio.sleep(0)
+            self.assertFalse(draining.done())
+            peer.lender.release.set()
+            await draining
+            peer.server.stop()
+            self.assertEqual(7, (await call).loan)
+
+        self.run_peer(scenario)
+
+    # Guards against a reply that is lost in the transport's buffer as the
+    # process ends: the caller reads slowly.
+    def test_replies_are_sent_before_the_stop(self):
+        async def scenario(peer):
+            peer.lender.release.set()
+            peer.lender.answer = statements.Answer(rows=("x" * LARGE_REPLY,))
+            reader, writer = await asyncio.open_connection(
+                real.HOST, peer.port, limit=1
+            )
+            writer.write(streams.encode_frame(0, streams.Method.HELLO, SECRET))
+            writer.write(
+                streams.encode_frame(1, streams.Method.RUN, run_request(7))
+            )
+            await peer.lender.started.wait()
+            draining = asyncio.ensure_future(peer.drain())
+            await asyncio.sleep(0)
+            received = await reader.read()
+            writer.close()
+            await draining
+            peer.server.stop()
+            length = int.from_bytes(received[: streams.LENGTH_BYTES], "big")
+            self.assertLess(LARGE_REPLY, length)
+            self.assertLessEqual(length, len(received))
+
+        self.run_peer(scenario)
+
+    # Guards against "in doubt" for a commit that a stopping host did not
+    # read any more.
+    def test_call_after_the_last_reply_was_not_run(self):
+        async def scenario(peer):
+            client, member = peer.client, peer.member
+            peer.lender.release.set()
+            await client.run(member, run_request(7), real.LIMIT_S)
+            draining = asyncio.ensure_future(peer.drain())
+            # The server has said that it handles no more calls, which the
+            # client has not read yet.
+            while not all(each.is_finished for each in peer.server.streams):
+                await asyncio.sleep(0)
+            with self.assertRaises(exceptions.PeerUnavailable) as caught:
+                await client.run(member, run_request(8), real.LIMIT_S)
+            self.assertFalse(caught.exception.sent)
+            await draining
+
+        self.run_peer(scenario)
+
+    # Guards against a stop that takes longer than the grace time because
+    # one call does not end.
+    def test_drain_ends_in_time(self):
+        async def scenario(peer):
+            call = asyncio.ensure_future(
+                peer.client.run(peer.member, run_request(7), real.LIMIT_S)
+            )
+            await peer.lender.started.wait()
+            await peer.server.drain(clock.now() + 0.3)
+            peer.server.stop()
+            with self.assertRaises(exceptions.PeerUnavailable) as caught:
+                await call
+            self.assertTrue(caught.exception.sent)
+
+        self.run_peer(scenario)
+
+
 class StreamFailureTest(testtools.TestCase):
     """Calls that get no answer."""
 
