Number the loans of each process of a connection host differently

What callers saw: after a host had restarted, statements and COMMIT of one caller ran inside another caller's transaction (PINNED, UNASKED). Cause: a host numbered its loans from 1 in each process. A borrower whose transaction had begun at the earlier process sent its number, which by then was another borrower's loan. The return of such a loan ended another one's. Change: the first number of a process is drawn at random from 2^60. Evidence: test_a_restarted_host_knows_no_earlier_loan failed before (the COMMIT of the earlier loan was run) and passes now.

--- a/balsamhinge/sessions/connectionloans.py
+++ b/balsamhinge/sessions/connectionloans.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import itertools
+import secrets
 import weakref
 
 import attrs
@@ -48,6 +49,8 @@
 CUT_OFF_HOST_S = 1.0
 # Age up to which the reported wait of a queue is used.
 MAX_REPORT_AGE_S = 1.0
+# Size of the first loan number of a process, which is drawn at random.
+LOAN_NUMBER_BITS = 60
 NO_WORKLOAD = workloads.Workload()
 
 log = logbook.Logger(__name__)
@@ -88,7 +91,11 @@
 
     def __init__(self, fleet):
         self._fleet = fleet
-        self._loan_numbers = itertools.count(1)
+        # A borrower may use a loan of an earlier process of this instance,
+        # whose number must not be that of another loan.
+        self._loan_numbers = itertools.count(
+            1 + secrets.randbits(LOAN_NUMBER_BITS)
+        )
         self._loans = {}
         # Number of requests of borrowers that are being handled.
         self._open_requests = 0
--- a/tests/sessions/test_connectionloans.py
+++ b/tests/sessions/test_connectionloans.py
@@ -19,6 +19,8 @@
 CONNECT_S = 0.4
 # Duration of a slow statement.
 WORK_S = 0.4
+# More loans than a host grants in the seconds before a test.
+MAX_EARLIER_LOANS = 100
 # More instances than connections to a target.
 SHARED_CONNECTIONS = {"instances": 7, "connections": 12}
 
@@ -332,6 +334,43 @@
 
         self.run_fleet(scenario, **SHARED_CONNECTIONS)
 
+    # Guards against a statement that runs inside another caller's
+    # transaction, because its host has restarted and numbers loans anew.
+    def test_a_restarted_host_knows_no_earlier_loan(self):
+        async def scenario(world):
+            member = hosts_of_primary(world)[0]
+
+            async def begin():
+                host = world.fleets[member.name]
+                await host.leaders.wait_valid_leadership(
+                    world.group.name, clock.now() + 30.0
+                )
+                reply = await host.connection_loans.run(
+                    run_request(
+                        statements.Begin(),
+                        borrow=borrow_request(world, host),
+                    )
+                )
+                self.assertNotEqual(0, reply.loan)
+                return reply.loan
+
+            earlier = await begin()
+            await world.kill(member.name)
+            controller = world.start_instance(member).connection_loans
+            # A number that counts from one again comes to the earlier one.
+            for _ in range(MAX_EARLIER_LOANS):
+                later = await begin()
+                reply = await controller.run(
+                    run_request(statements.Commit(), earlier)
+                )
+                self.assertIsNone(reply.answer)
+                self.assertFalse(reply.may_have_run)
+                controller.end_loan(earlier, usable=False)
+                self.assertEqual([later], list(controller._loans))
+                controller.end_loan(later, usable=False)
+
+        self.run_fleet(scenario, **SHARED_CONNECTIONS)
+
     def test_loans_of_a_dead_borrower_are_reclaimed(self):
         async def scenario(world):
             name = non_host_of_primary(world)
