Finish TLS handshakes before the HTTP server stops

What callers saw: a caller whose TLS handshake was under way at a SIGTERM found its connection closed (httpx.ConnectError in start_tls), without an answer. Cause: cheroot performs the handshakes in the thread that accepts connections, one after the other. The connections behind them were in the kernel's queue, connected for their callers, and reset when the stop closed the listening socket. The same thread waited up to 60 s for a caller that sent nothing, and nobody else was accepted meanwhile. Change: worker threads perform the handshakes. A stop first lets the server accept what waits, keeps the kernel's queue until its threads have ended, and answers what has come since. The application refuses new work by then, so these callers get 503 with Retry-After and Connection: close. Evidence: of the tests in tests/api/test_server.py, test_handshakes_under_way_are_finished_and_answered failed before with ConnectionResetError, test_silent_caller_delays_no_other with a timeout of the handshake after 10 s. All three pass now, with tests.api.test_callers. Open: a request on an idle connection that is on its way as the stop closes that connection; HTTP/1.1 callers have to repeat it on another one.

--- a/balsamhinge/api/server.py
+++ b/balsamhinge/api/server.py
@@ -4,6 +4,7 @@
 
 from balsamhinge.api import bridge
 from balsamhinge.api import callers
+from balsamhinge.api import httpserver
 from balsamhinge.api import operators
 
 __all__ = ["ApiServer"]
@@ -56,10 +57,6 @@
                 }
             }
         )
-        if settings.callers.certificate:
-            cherrypy.server.ssl_module = "builtin"
-            cherrypy.server.ssl_certificate = settings.callers.certificate
-            cherrypy.server.ssl_private_key = settings.callers.key
         application = callers.CallersApplication(
             self._bridge, self._core, settings.callers.token
         )
@@ -69,8 +66,14 @@
             self._bridge, self._core, settings.operator_token
         )
         cherrypy.tree.mount(health, "/")
-        server, address = cherrypy.server.httpserver_from_self()
+        server, address = cherrypy.server.httpserver_from_self(
+            httpserver.GracefulServer(cherrypy.server)
+        )
         server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
+        if settings.callers.certificate:
+            server.ssl_adapter = httpserver.TlsAdapter(
+                settings.callers.certificate, settings.callers.key
+            )
         cherrypy.server.httpserver = server
         cherrypy.server.bind_addr = address
         cherrypy.engine.start()
