Keep a stream whose peer reads slowly until its replies are sent

What callers saw: the drain of a stream that had more than 4 MB of replies left reset it; all replies that the peer had not read were lost. Seen once in a test on a busy machine (ConnectionResetError), then traced. Cause: the frame that says which call was the last one went through the limit for peers that do not read, which aborts the connection. Change: that frame is written regardless of the limit.

--- a/balsamhinge/peers/streams.py
+++ b/balsamhinge/peers/streams.py
@@ -318,10 +318,13 @@
         """
         if self.is_finished or self.transport.is_closing():
             return
-        self._send_frame(0, Method.CLOSING, self._last_handled)
         self.is_finished = True
-        if not self.transport.is_closing():
-            self.transport.write_eof()
+        # Replies that the peer has not read yet may exceed the limit of
+        # `send`, which would abort the stream.
+        self.transport.write(
+            encode_frame(0, Method.CLOSING, self._last_handled)
+        )
+        self.transport.write_eof()
 
     def handle_frame(self, frame):
         """Serve a request; the first frame must carry the secret."""
--- a/tests/peers/test_streams.py
+++ b/tests/peers/test_streams.py
@@ -25,7 +25,8 @@
 # Longer than the time for which a stream was kept after a late answer.
 RETIRED_S = 2.2
 # Bytes of a reply that does not fit into the buffers of the sockets.
-LARGE_REPLY = 7_000_000
+LARGE_REPLY = 8_300_000
+RECEIVE_BUFFER = 65_536
 Message = gossipmessages.GossipMessage
 
 
@@ -65,7 +66,8 @@
     def __init__(self, secret=SECRET):
         self.lender = Lender()
         self.port = real.free_port()
-        self.member = ownership.Member("one", f"{real.HOST}:1", "n")
+        address = f"{real.HOST}:{real.free_port()}"
+        self.member = ownership.Member("one", address, "n")
         self.server = streams.StreamServer(
             fleet.stream_handlers(
                 lambda message: Message("one", holder=message.sender),
@@ -232,16 +234,22 @@
         async def scenario(peer):
             peer.lender.release.set()
             peer.lender.answer = statements.Answer(rows=("x" * LARGE_REPLY,))
-            reader, writer = await asyncio.open_connection(
-                real.HOST, peer.port, limit=1
+            sock = socket.socket()
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER
             )
+            sock.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(sock, (real.HOST, peer.port))
+            reader, writer = await asyncio.open_connection(sock=sock)
             writer.write(streams.encode_frame(0, streams.Method.HELLO, SECRET))
             writer.write(
                 streams.encode_frame(1, streams.Method.RUN, run_request(7))
             )
             await peer.lender.started.wait()
             draining = asyncio.ensure_future(peer.drain())
-            await asyncio.sleep(0)
+            while not all(each.is_finished for each in peer.server.streams):
+                await asyncio.sleep(0)
             received = await reader.read()
             writer.close()
             await draining
