Report orders to a stopped connection host as not sent

What callers saw: a COMMIT, or a statement of a transaction, at a host that had stopped was in doubt, although nobody listened there. Cause: an instance that refuses a stream was taken for one of an earlier release and called by gRPC, whose errors all count as 'may have been sent'. Change: a refused stream to an instance that has accepted streams before is a call that was not sent. Gossip still tries gRPC, and its success makes the instance one of an earlier release. The record of an instance goes with its streams.

--- a/balsamhinge/peers/streamclient.py
+++ b/balsamhinge/peers/streamclient.py
@@ -101,6 +101,8 @@
         self._secret = secret
         self._grpc_client = grpc_client
         self._streams = {}
+        # Addresses of instances that have accepted a stream, by name.
+        self._stream_addresses = {}
         self._idle_check = None
 
     async def exchange(self, member, message, timeout_s):
@@ -110,7 +112,11 @@
                 member, Purpose.GOSSIP, Method.EXCHANGE, message, timeout_s
             )
         except ConnectionRefusedError:
-            return await self._grpc_client.exchange(member, message, timeout_s)
+            reply = await self._grpc_client.exchange(
+                member, message, timeout_s
+            )
+            self._stream_addresses.pop(member.name, None)
+            return reply
 
     async def fetch_table(self, member, request, timeout_s):
         """See `FleetPeerClient.fetch_table`."""
@@ -123,6 +129,7 @@
                 member, Purpose.LOANS, Method.BORROW, request, timeout_s
             )
         except ConnectionRefusedError:
+            self._check_release(member)
             return await self._grpc_client.borrow(member, request, timeout_s)
 
     async def run(self, member, request, timeout_s):
@@ -132,6 +139,7 @@
                 member, Purpose.LOANS, Method.RUN, request, timeout_s
             )
         except ConnectionRefusedError:
+            self._check_release(member)
             return await self._grpc_client.run(member, request, timeout_s)
 
     async def give_back(self, member, loan, usable, timeout_s):
@@ -142,6 +150,7 @@
                 member, Purpose.LOANS, Method.GIVE_BACK, ended, timeout_s
             )
         except ConnectionRefusedError:
+            self._check_release(member)
             await self._grpc_client.give_back(member, loan, usable, timeout_s)
 
     async def request_allowance(self, member, request, timeout_s):
@@ -151,10 +160,24 @@
                 member, Purpose.LIMITS, Method.ALLOWANCE, request, timeout_s
             )
         except ConnectionRefusedError:
+            self._check_release(member)
             return await self._grpc_client.request_allowance(
                 member, request, timeout_s
             )
 
+    def _check_release(self, member):
+        """Check that an instance may be of an earlier release.
+
+        One that has accepted streams has stopped if it refuses them now.
+
+        Raises
+        ------
+        PeerUnavailable
+            If it has accepted streams; nothing was sent.
+        """
+        if self._stream_addresses.get(member.name) == member.address:
+            raise exceptions.PeerUnavailable(member.name, False)
+
     async def _call(self, member, purpose, method, message, timeout_s):
         """Call an instance and return the decoded reply.
 
@@ -217,6 +240,7 @@
                 host,
                 self._port,
             )
+        self._stream_addresses[member.name] = member.address
         return conn
 
     def _drop(self, name, purpose, cached):
@@ -246,6 +270,9 @@
                     self._drop(name, purpose, cached)
             elif conn.is_idle and conn.used_at < unused_since:
                 self._drop(name, purpose, cached)
+        called = {name for name, _purpose in self._streams}
+        for name in set(self._stream_addresses) - called:
+            del self._stream_addresses[name]
         if self._streams:
             self._schedule_idle_check()
 
--- a/tests/peers/test_streams.py
+++ b/tests/peers/test_streams.py
@@ -279,6 +279,49 @@
 
         self.run_peer(scenario)
 
+    # Guards against "in doubt" for a commit in a transaction at a host that
+    # has stopped: nobody listens, so nothing was sent.
+    def test_call_to_a_stopped_instance_was_not_sent(self):
+        async def scenario(peer):
+            client, member = peer.client, peer.member
+            peer.lender.release.set()
+            await client.run(member, run_request(7), real.LIMIT_S)
+            await peer.drain()
+            peer.server.stop()
+            with self.assertRaises(exceptions.PeerUnavailable) as caught:
+                await client.run(member, run_request(7), real.LIMIT_S)
+            self.assertFalse(caught.exception.sent)
+
+        self.run_peer(scenario)
+
+    # Guards against an instance that is replaced by an earlier release and
+    # never heard of again.
+    def test_instance_replaced_by_an_earlier_release_is_called_by_grpc(self):
+        async def scenario(peer):
+            client, member = peer.client, peer.member
+            await client.exchange(member, Message("two"), real.LIMIT_S)
+            await peer.drain()
+            peer.server.stop()
+            server = fleet.FleetServer(
+                lambda message: Message("one", holder=message.sender),
+                None,
+                peer.lender,
+                security.PeerSecurity(SECRET),
+            )
+            await server.start(member.address)
+            try:
+                reply = await client.exchange(
+                    member, Message("two"), real.LIMIT_S
+                )
+                self.assertEqual("two", reply.holder)
+                request = loans.BorrowRequest("a", 0, 1.0, True)
+                lent = await client.borrow(member, request, real.LIMIT_S)
+                self.assertEqual(7, lent.loan)
+            finally:
+                await server.stop()
+
+        self.run_peer(scenario)
+
     # Guards against a stop that takes longer than the grace time because
     # one call does not end.
     def test_drain_ends_in_time(self):
