Test callers while a host and its borrower stop

Adds a test, changes nothing: callers of a borrower run transactions while its host and the instance itself stop, with either first. Each statement is answered within its route's timeout, no commit is in doubt, and no loan remains.

--- a/tests/sessions/test_connectionloans.py
+++ b/tests/sessions/test_connectionloans.py
@@ -1,6 +1,7 @@
 """Tests of connections that hosts lend to other instances."""
 
 import asyncio
+import functools
 
 from balsamhinge.controllers import clock
 from balsamhinge.policy import loans
@@ -17,6 +18,10 @@
 State = statements.State
 # Duration of the handshake of a target that is slow to accept.
 CONNECT_S = 0.4
+# Time between the stops of two instances.
+STOP_INTERVAL_S = 0.3
+# Timeout of the statements of all routes.
+ROUTE_TIMEOUT_S = 0.8
 # Duration of a slow statement.
 WORK_S = 0.4
 # More loans than a host grants in the seconds before a test.
@@ -59,6 +64,15 @@
     )
 
 
+async def stop(world, name):
+    """Stop an instance whose sessions have ended, as its daemon does."""
+    instance = world.fleets[name]
+    instance.stopping = True
+    now = clock.now()
+    await instance.connection_loans.drain(now + 1.0, now + 2.0)
+    await world.kill(name)
+
+
 class PeakLoadTest(virtual.FleetTestCase):
     """Peak load with more instances than connections to a target."""
 
@@ -371,6 +385,66 @@
 
         self.run_fleet(scenario, **SHARED_CONNECTIONS)
 
+    # Guards against a caller that waits for its deadline, or hears of a
+    # commit that is not kept, as its instance's host and the instance stop.
+    def test_callers_are_answered_while_host_and_borrower_stop(self):
+        for host_first in (True, False):
+            self.run_fleet(
+                functools.partial(self.stop_both, host_first),
+                **SHARED_CONNECTIONS,
+            )
+
+    async def stop_both(self, host_first, world):
+        name = non_host_of_primary(world)
+        host = hosts_of_primary(world)[0].name
+        ended = asyncio.Event()
+        callers = [world.caller(name, "posts") for _ in range(4)]
+        working = [
+            asyncio.ensure_future(self.transact(caller, number, ended))
+            for number, caller in enumerate(callers)
+        ]
+        await asyncio.sleep(0.5)
+        borrower = world.fleets[name]
+        if not host_first:
+            borrower.stopping = True
+            await asyncio.sleep(STOP_INTERVAL_S)
+        stopping_host = asyncio.ensure_future(stop(world, host))
+        await asyncio.sleep(STOP_INTERVAL_S)
+        borrower.stopping = True
+        await asyncio.sleep(STOP_INTERVAL_S)
+        ended.set()
+        committed = await asyncio.gather(*working)
+        await stop(world, name)
+        await stopping_host
+        self.assertLess(0, sum(committed))
+        for lender in world.fleets.values():
+            self.assertEqual({}, lender.connection_loans._loans)
+
+    async def transact(self, caller, number, ended):
+        """Run transactions until the end; return how many were committed."""
+        committed = 0
+        while not ended.is_set():
+            answers = [
+                await self.ask_in_time(caller, statement)
+                for statement in (
+                    statements.Begin(),
+                    Direct(Access.WRITE, f"k{number} {committed}"),
+                    statements.Commit(),
+                )
+            ]
+            committed += answers[-1].problem is None
+            self.assertIn(
+                answers[-1].problem, (None, statements.Problem.ABORTED)
+            )
+            await asyncio.sleep(0.01)
+        return committed
+
+    async def ask_in_time(self, caller, statement):
+        started_at = clock.now()
+        answer = await caller.ask(statement)
+        self.assertLess(clock.now() - started_at, ROUTE_TIMEOUT_S + 0.1)
+        return answer
+
     def test_loans_of_a_dead_borrower_are_reclaimed(self):
         async def scenario(world):
             name = non_host_of_primary(world)
