--- a/balsamhinge/sessions/connectionloans.py
+++ b/balsamhinge/sessions/connectionloans.py
@@ -1,6 +1,9 @@
 """Connection loans: hosts lend target connections to other instances."""
 
+import contextlib
 import itertools
+import secrets
+import weakref
 
 import attrs
 import logbook
@@ -46,6 +49,8 @@
 CUT_OFF_HOST_S = 1.0
 # Age up to which the reported wait of a queue is used.
 MAX_REPORT_AGE_S = 1.0
+# Size of the first loan number of a process, which is drawn at random.
+LOAN_NUMBER_BITS = 60
 NO_WORKLOAD = workloads.Workload()
 
 log = logbook.Logger(__name__)
@@ -86,8 +91,20 @@
 
     def __init__(self, fleet):
         self._fleet = fleet
-        self._loan_numbers = itertools.count(1)
+        # A borrower may use a loan of an earlier process of this instance,
+        # whose number must not be that of another loan.
+        self._loan_numbers = itertools.count(
+            1 + secrets.randbits(LOAN_NUMBER_BITS)
+        )
         self._loans = {}
+        # Number of requests of borrowers that are being handled.
+        self._open_requests = 0
+        # Whether statements may still run on loans.
+        self._accepts_orders = True
+        # Connections of hosts that sessions of this instance use, and the
+        # tasks that return them.
+        self._borrowed = weakref.WeakSet()
+        self._returns = set()
         # Maps the name of each avoided host to its data centre, or to ""
         # if the host is stopping.
         self._avoided_hosts = {}
@@ -158,9 +175,11 @@
             if not self._fleet.leaders.is_valid(leadership):
                 raise connections.LeaseLost("the primary's lease has lapsed")
             self._fleet.leaders.begin_work(leadership)
-        return connections.RemoteConnection(
+        conn = connections.RemoteConnection(
             self._fleet, target, host, request, leadership
         )
+        self._borrowed.add(conn)
+        return conn
 
     def _patience_s(self, target, workload, deadline):
         """Return how long a host may wait for a connection, in seconds."""
@@ -396,7 +415,9 @@
                 # The host reclaims the loan when it has been idle.
                 event(log.info, "loan_not_ended", host=host.name, error=exc)
 
-        self._fleet.spawn(give_back())
+        task = self._fleet.spawn(give_back())
+        self._returns.add(task)
+        task.add_done_callback(self._returns.discard)
 
     # Host's side.
 
@@ -420,21 +441,65 @@
                 )
                 self.end_loan(loan_number, usable=unused)
 
-    async def drain(self, deadline):
-        """Wait until all loans to other instances have ended.
+    async def drain(self, deadline, cutoff=None):
+        """Wait until all loans to and from other instances have ended.
+
+        A request that was accepted before the stop may still wait for a
+        connection; its loan begins later. Sessions of this instance must
+        have ended; connections that they borrowed may still be rolled back
+        and returned.
 
         Parameters
         ----------
         deadline : float
-            Latest time to return, in loop seconds, even if loans remain.
+            Loop seconds until which loans may go on. Later statements on
+            them are refused, so an open transaction is aborted.
+        cutoff : float, optional
+            Latest time to return, in loop seconds, even if statements are
+            still running; `deadline` by default.
         """
-        while self._loans and clock.now() < deadline:
+        cutoff = deadline if cutoff is None else cutoff
+        while self._is_in_use() and clock.now() < deadline:
+            await clock.pause(DRAIN_POLL_INTERVAL_S)
+        self._accepts_orders = False
+        while self._is_finishing() and clock.now() < cutoff:
             await clock.pause(DRAIN_POLL_INTERVAL_S)
+        if self._is_in_use():
+            event(
+                log.warning,
+                "drain_incomplete",
+                loans=len(self._loans),
+                requests=self._open_requests,
+            )
+        for loan_number, loan in list(self._loans.items()):
+            if not loan.running:
+                self.end_loan(loan_number, usable=False)
+
+    def _is_in_use(self):
+        """Return whether another instance uses or waits for a connection."""
+        return bool(self._loans) or self._open_requests > 0
+
+    def _is_finishing(self):
+        """Return whether an order runs, or a host waits for a return."""
+        is_borrowing = any(
+            conn.loan and not conn.released for conn in self._borrowed
+        )
+        return self._open_requests > 0 or is_borrowing or bool(self._returns)
+
+    @contextlib.contextmanager
+    def _count_request(self):
+        """Count a request of a borrower until its reply is ready."""
+        self._open_requests += 1
+        try:
+            yield
+        finally:
+            self._open_requests -= 1
 
     async def lend(self, request):
         """Handle a `BorrowRequest` and return the `BorrowReply`."""
         deadline = clock.now() + max(request.deadline_s, request.patience_s)
-        reply = await self._lend(request, deadline)
+        with self._count_request():
+            reply = await self._lend(request, deadline)
         if reply.loan:
             # The borrower's statement gets a permit when it arrives.
             self._loans[reply.loan].conn.end_permit()
@@ -522,6 +587,10 @@
 
     async def run(self, request):
         """Handle a `RunRequest` and return the `RunReply`."""
+        with self._count_request():
+            return await self._run(request)
+
+    async def _run(self, request):
         started_at = clock.now()
         loan_number = request.loan
         if not loan_number:
@@ -536,7 +605,8 @@
                     waits_s=reply.waits_s,
                 )
         loan = self._loans.get(loan_number)
-        if loan is None or loan.running:
+        has_ended = bool(request.loan) and not self._accepts_orders
+        if loan is None or loan.running or has_ended:
             return loans.RunReply(detail="the loan has ended")
         loan.running = True
         usable = False
--- a/tests/peers/test_streams.py
+++ b/tests/peers/test_streams.py
@@ -6,6 +6,7 @@
 
 import testtools
 
+from balsamhinge.controllers import clock
 from balsamhinge import exceptions
 from balsamhinge.peers import fleet
 from balsamhinge.peers import security
@@ -18,11 +19,14 @@
 from balsamhinge.policy import statements
 from tests.support import real
 
-__all__ = ["StreamCallTest", "StreamFailureTest"]
+__all__ = ["StreamCallTest", "StreamFailureTest", "StreamStopTest"]
 
 SECRET = "s"
 # Longer than the time for which a stream was kept after a late answer.
 RETIRED_S = 2.2
+# Bytes of a reply that does not fit into the buffers of the sockets.
+LARGE_REPLY = 8_300_000
+RECEIVE_BUFFER = 65_536
 Message = gossipmessages.GossipMessage
 
 
@@ -33,6 +37,7 @@
         self.ended = []
         self.started = asyncio.Event()
         self.release = asyncio.Event()
+        self.answer = statements.Answer()
 
     async def lend(self, request):
         """See `ConnectionLoanController.lend`."""
@@ -44,7 +49,7 @@
         """See `ConnectionLoanController.run`."""
         self.started.set()
         await self.release.wait()
-        return loans.RunReply(statements.Answer(), request.loan)
+        return loans.RunReply(self.answer, request.loan)
 
     def serve_allowance(self, request):
         """See `CustomerLimitsController.serve`."""
@@ -61,7 +66,8 @@
     def __init__(self, secret=SECRET):
         self.lender = Lender()
         self.port = real.free_port()
-        self.member = ownership.Member("one", f"{real.HOST}:1", "n")
+        address = f"{real.HOST}:{real.free_port()}"
+        self.member = ownership.Member("one", address, "n")
         self.server = streams.StreamServer(
             fleet.stream_handlers(
                 lambda message: Message("one", holder=message.sender),
@@ -72,6 +78,10 @@
         )
         self.client = make_client(self.port, secret)
 
+    async def drain(self):
+        """Finish all calls, as before a planned stop."""
+        await self.server.drain(clock.now() + real.LIMIT_S)
+
     @contextlib.asynccontextmanager
     async def running(self):
         """Listen, and close everything at the end."""
@@ -190,6 +200,145 @@
         self.run_peer(scenario)
 
 
+class StreamStopTest(testtools.TestCase):
+    """Calls to an instance that stops as planned."""
+
+    def run_peer(self, scenario):
+        async def run():
+            async with Peer().running() as peer:
+                return await scenario(peer)
+
+        return real.run_real(run())
+
+    # Guards against a lent statement that is cut as its host stops.
+    def test_running_call_is_answered_before_the_stop(self):
+        async def scenario(peer):
+            client, member = peer.client, peer.member
+            call = asyncio.ensure_future(
+                client.run(member, run_request(7), real.LIMIT_S)
+            )
+            await peer.lender.started.wait()
+            draining = asyncio.ensure_future(peer.drain())
+            await asyncio.sleep(0)
+            self.assertFalse(draining.done())
+            peer.lender.release.set()
+            await draining
+            peer.server.stop()
+            self.assertEqual(7, (await call).loan)
+
+        self.run_peer(scenario)
+
+    # Guards against a reply that is lost in the transport's buffer as the
+    # process ends: the caller reads slowly.
+    def test_replies_are_sent_before_the_stop(self):
+        async def scenario(peer):
+            peer.lender.release.set()
+            peer.lender.answer = statements.Answer(rows=("x" * LARGE_REPLY,))
+            sock = socket.socket()
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER
+            )
+            sock.setblocking(False)
+            loop = asyncio.get_running_loop()
+            await loop.sock_connect(sock, (real.HOST, peer.port))
+            reader, writer = await asyncio.open_connection(sock=sock)
+            writer.write(streams.encode_frame(0, streams.Method.HELLO, SECRET))
+            writer.write(
+                streams.encode_frame(1, streams.Method.RUN, run_request(7))
+            )
+            await peer.lender.started.wait()
+            draining = asyncio.ensure_future(peer.drain())
+            while not all(each.is_finished for each in peer.server.streams):
+                await asyncio.sleep(0)
+            received = await reader.read()
+            writer.close()
+            await draining
+            peer.server.stop()
+            length = int.from_bytes(received[: streams.LENGTH_BYTES], "big")
+            self.assertLess(LARGE_REPLY, length)
+            self.assertLessEqual(length, len(received))
+
+        self.run_peer(scenario)
+
+    # Guards against "in doubt" for a commit that a stopping host did not
+    # read any more.
+    def test_call_after_the_last_reply_was_not_run(self):
+        async def scenario(peer):
+            client, member = peer.client, peer.member
+            peer.lender.release.set()
+            await client.run(member, run_request(7), real.LIMIT_S)
+            draining = asyncio.ensure_future(peer.drain())
+            # The server has said that it handles no more calls, which the
+            # client has not read yet.
+            while not all(each.is_finished for each in peer.server.streams):
+                await asyncio.sleep(0)
+            with self.assertRaises(exceptions.PeerUnavailable) as caught:
+                await client.run(member, run_request(8), real.LIMIT_S)
+            self.assertFalse(caught.exception.sent)
+            await draining
+
+        self.run_peer(scenario)
+
+    # Guards against "in doubt" for a commit in a transaction at a host that
+    # has stopped: nobody listens, so nothing was sent.
+    def test_call_to_a_stopped_instance_was_not_sent(self):
+        async def scenario(peer):
+            client, member = peer.client, peer.member
+            peer.lender.release.set()
+            await client.run(member, run_request(7), real.LIMIT_S)
+            await peer.drain()
+            peer.server.stop()
+            with self.assertRaises(exceptions.PeerUnavailable) as caught:
+                await client.run(member, run_request(7), real.LIMIT_S)
+            self.assertFalse(caught.exception.sent)
+
+        self.run_peer(scenario)
+
+    # Guards against an instance that is replaced by an earlier release and
+    # never heard of again.
+    def test_instance_replaced_by_an_earlier_release_is_called_by_grpc(self):
+        async def scenario(peer):
+            client, member = peer.client, peer.member
+            await client.exchange(member, Message("two"), real.LIMIT_S)
+            await peer.drain()
+            peer.server.stop()
+            server = fleet.FleetServer(
+                lambda message: Message("one", holder=message.sender),
+                None,
+                peer.lender,
+                security.PeerSecurity(SECRET),
+            )
+            await server.start(member.address)
+            try:
+                reply = await client.exchange(
+                    member, Message("two"), real.LIMIT_S
+                )
+                self.assertEqual("two", reply.holder)
+                request = loans.BorrowRequest("a", 0, 1.0, True)
+                lent = await client.borrow(member, request, real.LIMIT_S)
+                self.assertEqual(7, lent.loan)
+            finally:
+                await server.stop()
+
+        self.run_peer(scenario)
+
+    # Guards against a stop that takes longer than the grace time because
+    # one call does not end.
+    def test_drain_ends_in_time(self):
+        async def scenario(peer):
+            call = asyncio.ensure_future(
+                peer.client.run(peer.member, run_request(7), real.LIMIT_S)
+            )
+            await peer.lender.started.wait()
+            await peer.server.drain(clock.now() + 0.3)
+            peer.server.stop()
+            with self.assertRaises(exceptions.PeerUnavailable) as caught:
+                await call
+            self.assertTrue(caught.exception.sent)
+
+        self.run_peer(scenario)
+
+
 class StreamFailureTest(testtools.TestCase):
     """Calls that get no answer."""
 
