Drain hosts of connections and streams within the schedule of a shutdown

Loans are drained beside the callers: later orders on them are refused when open transactions are, running ones are waited for as long as answers are, and the streams and the gRPC server end after their last reply.

--- a/balsamhinge/platform/daemon.py
+++ b/balsamhinge/platform/daemon.py
@@ -155,16 +155,24 @@
             now, self._settings.grace_s
         )
         self.fleet.begin_shutdown(schedule)
-        draining = self.fleet.spawn(self._callers.drain(schedule))
+        draining = [
+            self.fleet.spawn(self._callers.drain(schedule)),
+            self.fleet.spawn(self._drain_loans(schedule)),
+        ]
         await clock.pause(
             min(UNREADY_DELAY_S, schedule.refuse_operations_at - now)
         )
         self._callers.stop_listening()
-        await draining
-        await self.fleet.connection_loans.drain(schedule.answer_by)
+        await asyncio.wait(draining)
+        # The end of a session returns the connections that it borrowed.
+        await self._drain_loans(schedule)
+        remaining_s = max(0.0, schedule.close_by - clock.now())
+        await asyncio.gather(
+            self._server.stop(remaining_s),
+            self._stream_server.drain(schedule.close_by),
+        )
         self._readiness.stop()
         await self.fleet.halt()
-        await self._server.stop()
         self._stream_server.stop()
         await self._peers.close()
         self._store.close()
@@ -172,6 +180,11 @@
             log.notice, "stopped", seconds=time.monotonic() - started_at
         )
 
+    async def _drain_loans(self, schedule):
+        await self.fleet.connection_loans.drain(
+            schedule.abort_transactions_at, schedule.answer_by
+        )
+
 
 async def run_daemon(settings):
     """Run one instance until a stop is requested."""
