--- a/balsamhinge/platform/callers.py
+++ b/balsamhinge/platform/callers.py
@@ -110,7 +110,11 @@
         """
         for conn in self.connections:
             conn.limit_answer_time(schedule.answer_by)
-        while self._may_have_sessions() and clock.now() < schedule.answer_by:
+        may_have_sessions = True
+        while may_have_sessions and clock.now() < schedule.answer_by:
+            # A connection that was accepted just before the end of listening
+            # is seen one step later.
+            may_have_sessions = self._may_have_sessions()
             remaining_s = max(
                 DRAIN_STEP_INTERVAL_S,
                 schedule.refuse_operations_at - clock.now(),
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -1,6 +1,7 @@
 """Tests of the callers' port of an instance that is stopping."""
 
 import asyncio
+import socket
 
 import testtools
 
@@ -9,6 +10,7 @@
 from balsamhinge.platform import wire
 from balsamhinge.policy import shutdown
 from balsamhinge.sessions import session
+from tests.platform import standins
 from tests.platform import test_daemon
 from tests.support import virtual
 
@@ -121,6 +123,33 @@
 
         self.run_platform(scenario)
 
+    # Guards against a process that ends under a session that was accepted
+    # just before it stopped listening.
+    def test_drain_looks_again_after_the_end_of_listening(self):
+        async def scenario(platform):
+            server = platform.daemon._callers
+            server.stop_listening()
+            schedule = shutdown.ShutdownSchedule.from_grace(
+                clock.now(), test_daemon.HANG_TIMEOUT_S
+            )
+            draining = asyncio.ensure_future(server.drain(schedule))
+            # The drain finds no connection.
+            await asyncio.sleep(0)
+            client_end, server_end = socket.socketpair()
+            loop = asyncio.get_running_loop()
+            await loop.connect_accepted_socket(
+                lambda: callers.CallerConnection(server), server_end
+            )
+            reader, writer = await asyncio.open_connection(sock=client_end)
+            client = standins.LineClient(reader, writer)
+            self.assertEqual(
+                ["READY I -"], await client.request("CONNECT posts u1")
+            )
+            await draining
+            self.assertEqual(b"", await reader.read())
+
+        self.run_platform(scenario)
+
     # Guards against a stop that closes a session in the middle of a
     # statement: callers whose sessions were never idle got no answer.
     def test_busy_sessions_are_refused_before_they_are_closed(self):
