Abort a transaction whose commit was not sent

A commit that a stopping host refused ("the loan has ended", a call that was not sent) was reported in doubt, so that its caller could not repeat the transaction although nothing was kept. The session counted a commit as sent before the call that sends it. NotRunError now always aborts the transaction.

--- a/balsamhinge/sessions/session.py
+++ b/balsamhinge/sessions/session.py
@@ -686,7 +686,6 @@
                 return self._fail(rejection.problem, rejection.detail)
         conn = transaction.conn
         order = statements.Order(statement, request_id)
-        sent = False
         try:
             await conn.apply_session_state(self._values, None, req.deadline)
             await conn.admit(req.deadline)
@@ -697,12 +696,13 @@
                 )
             ):
                 return self._aborted(req, "the primary's lease has lapsed")
-            sent = True
             answer = await self._execute_in_transaction(conn, order, req)
             if answer.problem is None and transaction.wrote:
                 await self._record_commit(conn, answer, req.deadline)
-        except (exceptions.NotRunError, exceptions.TargetError) as exc:
-            if not sent or not transaction.wrote:
+        except exceptions.NotRunError as exc:
+            return self._aborted(req, exc)
+        except exceptions.TargetError as exc:
+            if not transaction.wrote:
                 return self._aborted(req, exc)
             self._transaction = None
             conn.release(usable=False)
--- a/tests/sessions/test_session.py
+++ b/tests/sessions/test_session.py
@@ -3,7 +3,9 @@
 import asyncio
 import collections
 
+from balsamhinge import exceptions
 from balsamhinge.policy import statements
+from balsamhinge.sessions import connections
 from tests.support import virtual
 
 Access = statements.Access
@@ -176,6 +178,27 @@
 
         self.run_fleet(scenario)
 
+    # Guards against a commit that is reported in doubt, and is not repeated by
+    # its caller, although it was never sent.
+    def test_a_commit_that_was_not_sent_is_aborted(self):
+        execute = connections.LocalConnection.execute
+
+        async def refuse_commits(conn, order, deadline):
+            if isinstance(order.statement, statements.Commit):
+                raise exceptions.NotRunError("the loan has ended")
+            return await execute(conn, order, deadline)
+
+        async def scenario(world):
+            caller = world.caller("south-1", "posts")
+            await caller.ask(statements.Begin())
+            await caller.write("a", "1")
+            self.patch(connections.LocalConnection, "execute", refuse_commits)
+            refused = await caller.ask(statements.Commit())
+            self.assertEqual(Problem.ABORTED, refused.problem)
+            self.assertEqual([], world.group.primary.log)
+
+        self.run_fleet(scenario)
+
     def test_a_failed_transaction_accepts_only_its_end(self):
         async def scenario(world):
             caller = world.caller("south-1", "posts")
