Decode each value of a response by itself where one is unreadable

What callers saw: an instance that lists or watches the targets while one entry is nested deeply ends, or loses sight of all entries. Other operators report machines that end again and again, or stop following the list.

Cause: a response is decoded as a whole. An entry of 100,000 brackets raises RecursionError, which is no ValueError and passes every handler; an integer of 5,000 digits or bytes that are no UTF-8 raise a ValueError for the whole list. Every instance reads the same list.

Only if that fails, it is split into its members by brackets and strings, and each is decoded by itself; what cannot be decoded is `bodies.UNREADABLE` in its place. Depth costs no recursion. A body that cannot be split is a ValueError, as before. The body of a refusal is no longer decoded: it made a conflict look like an outage if it held an undecodable object.

Evidence: with json.loads of the whole body, the cases of tests/platform/oddvalues.py raise RecursionError or ValueError for the list (tests.platform.test_objects, test_an_odd_entry_does_not_hide_the_others: "RecursionError: maximum recursion depth exceeded while decoding a JSON array").

--- a/balsamhinge/platform/http.py
+++ b/balsamhinge/platform/http.py
@@ -8,12 +8,15 @@
 import h11
 
 from balsamhinge import exceptions
+from balsamhinge.platform import bodies
 
 __all__ = ["HttpClient", "HttpResponse"]
 
 # Idle connections that are kept for later calls.
 MAX_IDLE_CONNECTIONS = 4
 READ_CHUNK_BYTES = 65536
+# Redirects are not followed.
+FIRST_REFUSAL_STATUS = 300
 # Timeouts for each further chunk of a response that has begun to arrive, and
 # for the whole response: 1 MB, the most that the store holds, over 1 Mbit/s.
 CHUNK_TIMEOUT_S = 1.0
@@ -31,14 +34,15 @@
 
 @attrs.frozen
 class HttpResponse:
-    """Status code, decoded JSON body and headers.
+    """Status code, decoded JSON body and headers of a response.
 
     Parameters
     ----------
     status : int
         Status code.
     body : object
-        None for an empty body.
+        See `bodies.decode`. None for an empty body, and for that of a
+        refusal, which nobody reads.
     headers : dict of str to str
         Values by lower-case name.
     """
@@ -200,7 +204,8 @@
         elif isinstance(event, h11.Data):
             received += event.data
         elif isinstance(event, h11.EndOfMessage):
-            body = json.loads(received or b"null")
+            is_read = received and status < FIRST_REFUSAL_STATUS
+            body = bodies.decode(received) if is_read else None
             return HttpResponse(status, body, headers)
         elif isinstance(event, h11.ConnectionClosed):
             raise ValueError("connection closed before the response")
