Check type, range and size of each field that others write

What callers saw: a configuration with one field out of range is refused as a whole, or ends the process that reads it; an entry of a target with a port of "0080", 10**30 slots, a `born` of 400 digits or a line feed in its name or service is used. Name and service are words of CONNECT, so that a line feed in them makes a second message of it; numbers above 64 bits cannot be sent to other instances.

Cause: fields are converted (`int(port)`, `str(name)`, division) and errors of four types are caught. OverflowError is none of them, and a conversion accepts what the field must not hold. The error of a target's entry is logged at debug and holds the value, of any length.

Each field is now read through `platform.fields`, which checks type, range and size, and raises one error that quotes no value. A service that is invalid costs itself alone, as a route does; an invalid limit has its default. A list that is no list makes a configuration unreadable: as an object it gave a table without routes. An unreadable entry of a target is logged as a warning.

--- a/balsamhinge/platform/decoding.py
+++ b/balsamhinge/platform/decoding.py
@@ -2,17 +2,18 @@
 
 import ipaddress
 import math
+import re
 
-import attrs
 import logbook
 
 from balsamhinge.logs import event
+from balsamhinge.platform import fields
 from balsamhinge.policy import customers
 from balsamhinge.policy import routes
 
-__all__ = ["is_word", "routing_table", "serving_target"]
+__all__ = ["routing_table", "serving_target"]
 
-MS_PER_S = 1000.0
+MS_PER_S = fields.MS_PER_S
 FRESHNESS_OF_ROUTE_TYPE = {
     "primary": routes.Freshness.LATEST,
     "read_your_writes": routes.Freshness.SESSION,
@@ -26,13 +27,18 @@
 DEFAULT_TIMEOUT_MS = 800
 # Name of the only object that holds the configuration in force.
 CONFIGURATION_NAME = "main"
-# Exceptions raised for a field that is missing or has the wrong type.
-DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
-# Limits the invalid routes or customers that one log line names.
+# Limits the invalid routes, services or customers that one log line names.
 MAX_LOGGED_ENTRIES = 3
 # Longer names and keys than these do not occur; a caller's message may have
 # 1 MB.
 MAX_NAME_CHARS = 128
+# No machine runs more statements at once.
+MAX_SLOTS = 65536
+MAX_CONNECTIONS = 1 << 31
+MAX_PRIORITY = 1 << 31
+ADDRESS = re.compile(r"([0-9a-f.:]{2,45}):([1-9][0-9]{0,4})", re.ASCII)
+MAX_PORT = 65535
+TARGET_STATES = ("ready", "draining")
 
 log = logbook.Logger(__name__)
 
@@ -40,44 +46,48 @@
 def routing_table(name, spec):
     """Decode a configuration object into a `RoutingTable`.
 
-    Routes and customers that cannot be decoded are left out and logged, so
-    that the others are in force. Returns None for an object of another name
-    and for a configuration that cannot be decoded as a whole. One whose
-    customers are all invalid is of that kind: without customers, callers
-    would need no key.
+    Routes, services and customers that cannot be decoded are left out and
+    logged, so that the others are in force; an unreadable limit has its
+    default. Returns None for an object of another name and for a
+    configuration that cannot be decoded as a whole. One whose customers are
+    all invalid is of that kind: without customers, callers would need no key.
     """
     if name != CONFIGURATION_NAME:
-        event(log.warning, "configuration_ignored", name=name)
+        event(log.warning, "configuration_ignored", name=fields.shown(name))
         return None
-    decoded, unreadable = {}, []
     try:
-        for index, item in enumerate(spec["routes"]):
-            try:
-                route = _decode_route(item)
-                decoded[route.database] = route
-            except DECODE_ERRORS as exc:
-                unreadable.append(f"route {index}: {exc!r}")
-        groups = [
-            routes.GroupLimits(str(s["name"]), int(s["max_conns"]))
-            for s in spec["services"]
-        ]
-        limits = spec.get("limits") or {}
-        table = routes.RoutingTable(
-            version=int(spec["version"]),
-            routes=decoded,
-            groups={group.group: group for group in groups},
-            idle_transaction_s=_number_or_default(
-                limits, "tx_idle_ms", DEFAULT_IDLE_TRANSACTION_MS
-            )
-            / MS_PER_S,
-        )
-        known, invalid = _decode_customers(spec.get("tenants"))
-    except DECODE_ERRORS as exc:
+        table, findings = _decode_table(spec)
+    except fields.InvalidField as exc:
         event(log.error, "configuration_unreadable", name=name, error=exc)
         return None
-    _log_unreadable("routes_unreadable", table.version, unreadable)
-    _log_unreadable("customers_unreadable", table.version, invalid)
-    return attrs.evolve(table, customers=known)
+    for kind, found in findings.items():
+        _log_unreadable(f"{kind}_unreadable", table.version, found)
+    return table
+
+
+def _decode_table(spec):
+    """Return a `RoutingTable`, and by kind what is left out of it."""
+    decoded, invalid_routes = _decode_list(
+        fields.field(spec, "routes"), "route", _decode_route
+    )
+    groups, invalid_services = _decode_list(
+        fields.field(spec, "services"), "service", _decode_service
+    )
+    known, invalid_customers = _decode_customers(spec.get("tenants"))
+    limits, invalid_limits = _decode_limits(spec.get("limits"))
+    table = routes.RoutingTable(
+        version=fields.integer(spec, "version", 0),
+        routes={route.database: route for route in decoded},
+        groups={group.group: group for group in groups},
+        idle_transaction_s=limits,
+        customers=known,
+    )
+    return table, {
+        "routes": invalid_routes,
+        "services": invalid_services,
+        "limits": invalid_limits,
+        "customers": invalid_customers,
+    }
 
 
 def _log_unreadable(name, version, findings):
@@ -92,28 +102,60 @@
         )
 
 
-def _number_or_default(item, field, default):
-    """Return a field, or the default if it is missing or null."""
-    value = item.get(field)
-    return default if value is None else value
+def _decode_list(items, kind, decode):
+    """Return the values of the valid entries, and what others lack."""
+    if not isinstance(items, list):
+        raise fields.InvalidField(f"the {kind}s are no list")
+    values, findings = [], []
+    for index, item in enumerate(items):
+        try:
+            values.append(decode(item))
+        except fields.InvalidField as exc:
+            findings.append(f"{kind} {index}: {exc}")
+    return values, findings
 
 
 def _decode_route(item):
     # The freshness of reads depends on route_type, not on the route's name.
+    route_type = fields.word(item, "route_type")
+    if route_type not in FRESHNESS_OF_ROUTE_TYPE:
+        raise fields.InvalidField("route_type is unknown")
     return routes.Route(
-        database=str(item["database"]),
-        group=str(item["service_name"]),
-        freshness=FRESHNESS_OF_ROUTE_TYPE[item["route_type"]],
-        max_age_s=_number_or_default(item, "max_staleness_ms", 0) / MS_PER_S,
-        timeout_s=_number_or_default(item, "timeout_ms", DEFAULT_TIMEOUT_MS)
-        / MS_PER_S,
-        aim_s=_number_or_default(item, "target_latency_ms", DEFAULT_TIMEOUT_MS)
-        / MS_PER_S,
-        priority=int(_number_or_default(item, "priority", 0)),
+        database=fields.word(item, "database"),
+        group=fields.word(item, "service_name"),
+        freshness=FRESHNESS_OF_ROUTE_TYPE[route_type],
+        max_age_s=fields.seconds(item, "max_staleness_ms", 0),
+        timeout_s=fields.seconds(item, "timeout_ms", DEFAULT_TIMEOUT_MS),
+        aim_s=fields.seconds(item, "target_latency_ms", DEFAULT_TIMEOUT_MS),
+        priority=_decode_priority(item),
         public=item.get("public") is True,
     )
 
 
+def _decode_priority(item):
+    return fields.integer(item, "priority", -MAX_PRIORITY, MAX_PRIORITY, 0)
+
+
+def _decode_service(item):
+    return routes.GroupLimits(
+        fields.word(item, "name"),
+        fields.integer(item, "max_conns", 0, MAX_CONNECTIONS),
+    )
+
+
+def _decode_limits(item):
+    """Return the limit of idle transactions in seconds, and any findings."""
+    default_s = DEFAULT_IDLE_TRANSACTION_MS / MS_PER_S
+    if item is None:
+        return default_s, []
+    try:
+        return fields.seconds(
+            item, "tx_idle_ms", DEFAULT_IDLE_TRANSACTION_MS
+        ), []
+    except fields.InvalidField as exc:
+        return default_s, [str(exc)]
+
+
 def _decode_customers(items):
     """Decode the customers of a configuration.
 
@@ -132,108 +174,96 @@
 
     Raises
     ------
-    ValueError
+    InvalidField
         If there are entries and none of them is valid.
     """
-    known, findings = {}, []
-    for index, item in enumerate([] if items is None else items):
-        where = f"customer {index}"
-        try:
-            customer, dropped_keys = _decode_customer(item)
-        except _InvalidEntry as exc:
-            findings.append(f"{where}: {exc}")
-            continue
-        except DECODE_ERRORS as exc:
-            # The text of the error may contain what could not be decoded.
-            findings.append(f"{where}: {type(exc).__name__}")
-            continue
+    if items is None:
+        return {}, []
+    decoded, findings = _decode_list(items, "customer", _decode_customer)
+    known = {}
+    for customer, dropped_keys in decoded:
         if customer.name in known:
-            findings.append(f"{where}: {customer.name} is listed twice")
+            findings.append(f"customer {customer.name} is listed twice")
             continue
         known[customer.name] = customer
         if dropped_keys:
             findings.append(
-                f"{where}: {dropped_keys} keys of {customer.name} are invalid"
+                f"{dropped_keys} keys of {customer.name} are invalid"
             )
     if items and not known:
-        raise ValueError(f"no valid customer: {'; '.join(findings[:1])}")
+        raise fields.InvalidField(f"no valid customer: {findings[0]}")
     return known, findings
 
 
-class _InvalidEntry(ValueError):
-    """An entry has an invalid value; the text contains no secret."""
-
-
 def _decode_customer(item):
     """Return a `Customer` and the number of its keys that are invalid."""
-    name, keys = item["name"], item["api_keys"]
-    if not is_word(name, MAX_NAME_CHARS):
-        raise _InvalidEntry("the name is no word")
+    name = fields.word(item, "name", MAX_NAME_CHARS)
+    keys = fields.field(item, "api_keys")
     if not isinstance(keys, list):
-        raise _InvalidEntry(f"the keys of {name} are no list")
-    valid_keys = [key for key in keys if is_word(key, customers.MAX_KEY_CHARS)]
+        raise fields.InvalidField(f"the keys of {name} are no list")
+    valid_keys = [
+        key for key in keys if fields.is_word(key, customers.MAX_KEY_CHARS)
+    ]
     return (
         customers.Customer(
             name=name,
             key_digests=tuple(map(customers.digest_key, valid_keys)),
-            priority=int(_number_or_default(item, "priority", 0)),
-            rate_per_s=_limit_or_default(item, "rate_per_s", math.inf),
-            burst=_limit_or_default(item, "burst", 0.0),
+            priority=_decode_priority(item),
+            rate_per_s=fields.number(item, "rate_per_s", math.inf),
+            burst=fields.number(item, "burst", 0.0),
         ),
         len(keys) - len(valid_keys),
     )
 
 
-def is_word(value, max_chars):
-    """Return whether a value can be sent as one word of a message."""
-    return (
-        isinstance(value, str)
-        and 0 < len(value) <= max_chars
-        and value.isprintable()
-        and " " not in value
-    )
-
-
-def _limit_or_default(item, field, default):
-    value = float(_number_or_default(item, field, default))
-    if not value >= 0.0:
-        raise _InvalidEntry(f"{field} must not be negative: {value}")
-    return value
-
-
 def serving_target(name, spec):
     """Decode a target's entry into a `ServingTarget`; None if invalid."""
     try:
         return _decode_target(name, spec)
-    except DECODE_ERRORS as exc:
-        event(log.debug, "target_entry_unreadable", name=name, error=exc)
+    except fields.InvalidField as exc:
+        event(
+            log.warning,
+            "target_entry_unreadable",
+            name=fields.shown(name),
+            error=exc,
+        )
         return None
 
 
 def _decode_target(name, spec):
+    # Name and group are sent to the target as words of a message.
+    if not fields.is_word(name, MAX_NAME_CHARS):
+        raise fields.InvalidField("the name is no word")
     # db_role is the role that the target reports for itself; it does not say
     # which target is the group's primary.
-    role, state = spec["db_role"], spec["state"]
-    if state not in ("ready", "draining"):
-        raise ValueError(f"unknown state {state!r}")
-    host, _, port = spec["address"].rpartition(":")
-    ipaddress.ip_address(host)
-    if not 0 < int(port) < 65536:
-        raise ValueError(f"port out of range: {port!r}")
-    slots = spec["slots"]
-    if not isinstance(slots, int) or isinstance(slots, bool) or slots < 1:
-        raise ValueError(f"slots must be a positive integer: {slots!r}")
-    for field in ("service_name", "zone"):
-        if not isinstance(spec[field], str):
-            raise ValueError(f"{field} must be a string")
-    born = spec.get("born", 0)
+    role = fields.word(spec, "db_role")
+    if role not in tuple(routes.TargetRole):
+        raise fields.InvalidField("db_role is unknown")
+    state = fields.word(spec, "state")
+    if state not in TARGET_STATES:
+        raise fields.InvalidField("state is unknown")
     return routes.ServingTarget(
         name=name,
-        group=spec["service_name"],
-        address=spec["address"],
-        data_centre=spec["zone"],
-        slots=slots,
+        group=fields.word(spec, "service_name"),
+        address=_decode_address(spec),
+        data_centre=fields.word(spec, "zone"),
+        slots=fields.integer(spec, "slots", 1, MAX_SLOTS),
         leaving=state == "draining",
         role=routes.TargetRole(role),
-        born_ms=born if isinstance(born, int) else 0,
+        born_ms=fields.integer(spec, "born", 0, default=0),
     )
+
+
+def _decode_address(spec):
+    """Return an address as IP:port that a connection can be opened to."""
+    text = fields.word(spec, "address")
+    match = ADDRESS.fullmatch(text)
+    if not match or int(match[2]) > MAX_PORT:
+        raise fields.InvalidField("address is no IP:port")
+    try:
+        address = ipaddress.ip_address(match[1])
+    except ValueError as exc:
+        raise fields.InvalidField("address is no IP:port") from exc
+    if address.is_unspecified or address.is_multicast:
+        raise fields.InvalidField("address is of no machine")
+    return text
--- a/balsamhinge/platform/documents.py
+++ b/balsamhinge/platform/documents.py
@@ -10,6 +10,7 @@
 
 from balsamhinge.configuration import tabledocuments
 from balsamhinge.platform import decoding
+from balsamhinge.platform import fields
 from balsamhinge.policy import customers
 from balsamhinge.policy import routes
 
@@ -35,9 +36,7 @@
 }
 # The object as the store shows it has its content in this field.
 CONTENT_FIELD = "spec"
-MS_PER_S = decoding.MS_PER_S
-# A caller's line has at most 1 MB; longer names than this do not occur.
-MAX_LINE_WORD_CHARS = 1024
+MS_PER_S = fields.MS_PER_S
 MAX_SHOWN_CHARS = 80
 
 Entry = tabledocuments.Entry
@@ -257,12 +256,14 @@
         )
         return Entry(customer, self._prefix + path, CUSTOMER_FIELDS)
 
-    def _check_word(self, text, path, max_chars=MAX_LINE_WORD_CHARS, shown=""):
+    def _check_word(
+        self, text, path, max_chars=fields.MAX_WORD_CHARS, shown=""
+    ):
         """Report a text that cannot be one word of a protocol's line.
 
         `shown` is the text if it is not a secret.
         """
-        if not decoding.is_word(text, max_chars):
+        if not fields.is_word(text, max_chars):
             shown = f"{shown[:MAX_SHOWN_CHARS]!r} " if shown else ""
             self._add(
                 path,
