Decode each object of a list or watch by itself

What callers saw: one object whose name, revision or envelope is odd ends a list or a watch with KeyError, TypeError or OverflowError, which nobody handles: the instance ends, or follows the store no longer.

Cause: the client indexes into each object where it needs a part of it, and converts with int(). The paging continues from the last object of a page, of whatever name.

`platform.envelopes` checks what the store adds to an object, and `platform.recorddecoding` decodes the objects of a response one by one. An object without a readable name or revision is left out with a log line; one with an unreadable content has the value None. Both are logged once for a revision, not at each read. The paging continues from the last readable name, and a page without any is "store unavailable", as is a response whose `as_of` or incarnation is unreadable. Revisions are limited to what messages between instances can carry.

--- a/balsamhinge/platform/objects.py
+++ b/balsamhinge/platform/objects.py
@@ -1,6 +1,8 @@
 """Client of the platform's object store, which decodes its objects."""
 
 import collections
+import contextlib
+import re
 import urllib.parse
 
 import attrs
@@ -8,8 +10,10 @@
 from balsamhinge import exceptions
 from balsamhinge import interfaces
 from balsamhinge import metrics
-from balsamhinge.platform import decoding
+from balsamhinge.platform import envelopes
+from balsamhinge.platform import fields
 from balsamhinge.platform import http
+from balsamhinge.platform import recorddecoding
 from balsamhinge.policy import revisions
 
 __all__ = ["PlatformObjects"]
@@ -18,10 +22,6 @@
 # The platform's names of these kinds of objects; all other kinds have the
 # same name in the store.
 PLATFORM_KINDS = {interfaces.ROUTES: "config", interfaces.TARGETS: "servers"}
-DECODERS = {
-    interfaces.ROUTES: decoding.routing_table,
-    interfaces.TARGETS: decoding.serving_target,
-}
 CALL_TIMEOUT_S = 1.0
 # The store answers a watch at most this long after the requested wait; added
 # to the wait, it is the timeout of the call.
@@ -31,6 +31,8 @@
 # Header of each response that counts the incarnations of the store, from 1.
 INCARNATION_HEADER = "store-era"
 FIRST_INCARNATION = 1
+# Six digits do not exceed `revisions.MAX_INCARNATION`.
+INCARNATION_TEXT = re.compile(r"[0-9]{1,6}", re.ASCII)
 
 
 @attrs.frozen
@@ -42,21 +44,12 @@
 
     def decode_revision(self, number):
         """Return a number in the body as a revision."""
-        return revisions.compose(self.incarnation, int(number))
+        return revisions.compose(self.incarnation, number)
 
-    def decode_record(self, kind, item):
-        """Decode an object of the store into a `Record`.
-
-        The value is None if another writer stored one that cannot be
-        decoded; such an object does not affect the others.
-        """
-        meta = item["meta"]
-        decode = DECODERS.get(kind)
-        value = item.get("spec")
-        if decode is not None:
-            value = decode(meta["name"], value)
-        return interfaces.Record(
-            str(meta["name"]), self.decode_revision(meta["revision"]), value
+    def decode_as_of(self):
+        """Return the store's revision of which the body is."""
+        return self.decode_revision(
+            envelopes.decode_number(self.body, "as_of")
         )
 
 
@@ -74,10 +67,7 @@
         self._call_counts = collections.Counter()
         # Latest incarnation that any response told of.
         self._incarnation = None
-        # Last record of each configuration object, by name. It is read each
-        # second, and an unchanged one is not decoded, nor its invalid
-        # entries logged, again.
-        self._configurations = {}
+        self._decoder = recorddecoding.RecordDecoder()
 
     async def list(self, kind):
         """See `RecordStore.list`."""
@@ -85,21 +75,24 @@
         for _page in range(MAX_LIST_PAGES):
             query = f"?after={urllib.parse.quote(after)}" if after else ""
             answer = await self._call("GET", self._path(kind) + query)
-            body = answer.body
+            with _unavailable_if_unreadable():
+                page_as_of = answer.decode_as_of()
+                items = envelopes.decode_list(answer.body, "items")
             # The revision of the first page: a watch from there also delivers
             # changes to earlier pages made while later ones are read.
             if as_of is None:
-                as_of = answer.decode_revision(body["as_of"])
+                as_of = page_as_of
             if answer.incarnation != revisions.incarnation_of(as_of):
                 raise exceptions.StoreUnavailable(
                     f"the store was restored while {kind} were listed"
                 )
-            for item in body["items"]:
-                record = self._decode_record(answer, kind, item)
-                records[record.name] = record
-                after = record.name
-            if not body.get("more") or not body["items"]:
+            page = self._decoder.decode_objects(
+                kind, answer.incarnation, items
+            )
+            records |= {record.name: record for record in page}
+            if not answer.body.get("more") or not items:
                 break
+            after = _next_page(kind, after, page)
         return interfaces.Listing(records, as_of)
 
     async def watch(self, kind, after, wait_s):
@@ -116,32 +109,17 @@
         if self._was_restored_since(after):
             # The store has given out that revision again.
             raise exceptions.HistoryExpired(kind)
-        changes = []
-        for item in answer.body["events"]:
-            record = self._decode_record(answer, kind, item["object"])
-            changes.append(
-                interfaces.RecordChange(record, bool(item["deleted"]))
-            )
-        as_of = answer.decode_revision(answer.body["as_of"])
+        with _unavailable_if_unreadable():
+            as_of = answer.decode_as_of()
+            items = envelopes.decode_list(answer.body, "events")
+        changes = self._decoder.decode_events(kind, answer.incarnation, items)
         return interfaces.RecordChanges(changes, as_of)
 
-    def _decode_record(self, answer, kind, item):
-        """Decode an object, unless it is the configuration read last."""
-        if kind != interfaces.ROUTES:
-            return answer.decode_record(kind, item)
-        meta = item["meta"]
-        known = self._configurations.get(meta["name"])
-        revision = answer.decode_revision(meta["revision"])
-        if known is None or known.revision != revision:
-            known = answer.decode_record(kind, item)
-            self._configurations[known.name] = known
-        return known
-
     async def create(self, kind, name, value):
         """See `RecordStore.create`."""
         body = {"meta": {"name": name}, "spec": value}
         answer = await self._call("POST", self._path(kind), body)
-        return answer.decode_record(kind, answer.body)
+        return self._decode_written(kind, answer)
 
     async def replace(self, kind, name, value, revision):
         """See `RecordStore.replace`."""
@@ -149,7 +127,13 @@
         body = {"meta": {"name": name, "revision": number}, "spec": value}
         path = f"{self._path(kind)}/{urllib.parse.quote(name)}"
         answer = await self._call_if_current("PUT", path, revision, body)
-        return answer.decode_record(kind, answer.body)
+        return self._decode_written(kind, answer)
+
+    def _decode_written(self, kind, answer):
+        """Return the record in the answer to a write."""
+        with _unavailable_if_unreadable():
+            stored = envelopes.decode_object(answer.body)
+        return self._decoder.decode_record(kind, answer.incarnation, stored)
 
     async def delete(self, kind, name, revision):
         """See `RecordStore.delete`."""
@@ -217,12 +201,11 @@
             If the response was given before the store was restored.
         """
         text = response.headers.get(INCARNATION_HEADER, str(FIRST_INCARNATION))
-        try:
-            incarnation = max(0, int(text) - FIRST_INCARNATION)
-        except ValueError as exc:
+        if not INCARNATION_TEXT.fullmatch(text):
             raise exceptions.StoreUnavailable(
-                f"unreadable {INCARNATION_HEADER}: {text!r}"
-            ) from exc
+                f"unreadable {INCARNATION_HEADER}: {fields.shown(text)}"
+            )
+        incarnation = max(0, int(text) - FIRST_INCARNATION)
         earlier = self._incarnation
         if earlier is not None and incarnation < earlier:
             raise exceptions.StoreUnavailable(
@@ -239,3 +222,25 @@
     def close(self):
         """Close the connections to the store."""
         self._client.close()
+
+
+@contextlib.contextmanager
+def _unavailable_if_unreadable():
+    """Raise `StoreUnavailable` for a response that cannot be decoded."""
+    try:
+        yield
+    except fields.InvalidField as exc:
+        raise exceptions.StoreUnavailable(f"unreadable: {exc}") from exc
+
+
+def _next_page(kind, after, page):
+    """Return the name after which the next page of a list begins.
+
+    Raises
+    ------
+    StoreUnavailable
+        If the page has no readable name to continue from.
+    """
+    if not page or page[-1].name == after:
+        raise exceptions.StoreUnavailable(f"a page of {kind} has no names")
+    return page[-1].name
--- a/balsamhinge/policy/revisions.py
+++ b/balsamhinge/policy/revisions.py
@@ -1,11 +1,21 @@
 """Revisions of the platform's store, ordered across its incarnations."""
 
-__all__ = ["compose", "describe", "incarnation_of", "number_of"]
+__all__ = [
+    "MAX_INCARNATION",
+    "MAX_NUMBER",
+    "compose",
+    "describe",
+    "incarnation_of",
+    "number_of",
+]
 
 # A store that is restored from an older copy begins a new incarnation, in
 # which it gives out the later numbers again. The incarnation takes the
 # higher bits of a revision, so that any two revisions can be compared.
 NUMBER_BITS = 40
+MAX_NUMBER = (1 << NUMBER_BITS) - 1
+# Messages between instances carry revisions as signed integers of 64 bits.
+MAX_INCARNATION = (1 << (63 - NUMBER_BITS)) - 1
 
 
 def compose(incarnation, number):
@@ -32,7 +42,7 @@
 
 def number_of(revision):
     """Return a revision as the store counts it."""
-    return revision & ((1 << NUMBER_BITS) - 1)
+    return revision & MAX_NUMBER
 
 
 def describe(revision):
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -163,6 +163,9 @@
         self.promotions = []
         # Status codes of the next responses, instead of executing requests.
         self.next_statuses = []
+        # Bytes that take the place of stored strings, to simulate another
+        # writer.
+        self.raw_values = {}
         # Called once after the next response, to simulate another writer.
         self.after_next_response = None
         self._server = None
@@ -204,7 +207,7 @@
                 if self.after_next_response is not None:
                     self.after_next_response()
                     self.after_next_response = None
-                data = json.dumps(content).encode()
+                data = self._encode_body(content)
                 response = h11.Response(
                     status_code=status,
                     headers=[
@@ -220,6 +223,12 @@
                 break
         writer.close()
 
+    def _encode_body(self, content):
+        data = json.dumps(content).encode()
+        for text, raw in self.raw_values.items():
+            data = data.replace(json.dumps(text).encode(), raw)
+        return data
+
     def _tell_incarnation(self):
         return str(self._records.incarnation + objects.FIRST_INCARNATION)
 
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -15,6 +15,7 @@
 from balsamhinge.policy import ownership
 from balsamhinge.standins import records
 from balsamhinge.standins import replicas
+from tests.platform import oddvalues
 from tests.platform import standins
 from tests.support import virtual
 
@@ -35,7 +36,16 @@
 
 
 class Platform:
-    """Three targets, the object store and one instance."""
+    """Three targets, the object store and one instance.
+
+    Parameters
+    ----------
+    prepare : callable
+        Called with this platform before the instance starts.
+    """
+
+    def __init__(self, prepare=lambda platform: None):
+        self._prepare = prepare
 
     async def start(self):
         """Start the targets, the store and the instance."""
@@ -63,6 +73,7 @@
             promotion=self.server.address,
             log_level="error",
         )
+        self._prepare(self)
         self.daemon = daemon.PlatformDaemon(self.settings)
         self.running = asyncio.ensure_future(self.daemon.run())
         while self.daemon.fleet.leaders.valid_leadership("ladder") is None:
@@ -87,10 +98,11 @@
 class DaemonTest(testtools.TestCase):
     """Behaviour towards callers and the platform on the sockets."""
 
-    def run_platform(self, scenario):
+    def run_platform(self, scenario, prepare=lambda platform: None):
         async def run():
-            platform = Platform()
-            await platform.start()
+            platform = Platform(prepare)
+            async with asyncio.timeout(HANG_TIMEOUT_S):
+                await platform.start()
             try:
                 async with asyncio.timeout(HANG_TIMEOUT_S):
                     await scenario(platform)
@@ -265,6 +277,51 @@
 
         self.run_platform(scenario)
 
+    # Guards against machines that end, or stop following the list, because of
+    # an entry that cannot be decoded, be it there at the start or put later.
+    def test_undecodable_entries_do_not_affect_the_others(self):
+        def put_odd_entries(platform, prefix):
+            for number, raw in enumerate(oddvalues.ODD_BYTES.values()):
+                name = f"{prefix}-{number:02}"
+                platform.server.raw_values[f"raw-{number}"] = raw
+                platform.records.put("servers", name, f"raw-{number}")
+            # The last target of the list with a field that is odd.
+            target = platform.group.targets["ladder-1"]
+            for number, change in enumerate(
+                ({"address": "127.0.0.1:99999"}, {"slots": 10**30})
+            ):
+                spec = standins.entry(target, 1, **change)
+                platform.records.put("servers", f"{prefix}-z{number}", spec)
+
+        async def scenario(platform):
+            fleet = platform.daemon.fleet
+            for name in ("ladder-2", "ladder-3"):
+                put_odd_entries(platform, f"{name}-odd")
+                port = platform.targets[name].port
+                spec = standins.entry(
+                    platform.group.targets[name], port, state="draining"
+                )
+                platform.records.put("servers", name, spec)
+                while not fleet.directory.targets[name].leaving:
+                    await asyncio.sleep(0.01)
+            self.assertFalse(platform.running.done())
+            self.assertFalse(fleet.store_health.failing)
+            names = set(fleet.directory.targets)
+            self.assertEqual(set(platform.group.targets), names)
+            client = await platform.session("posts")
+            answer = await client.request("QUERY 1 WRITE a 1")
+            self.assertEqual("COMPLETE s", answer[0])
+
+        self.patch(logs, "_min_level_index", 0)
+        with logbook.TestHandler(bubble=True) as handler:
+            self.run_platform(
+                scenario, lambda platform: put_odd_entries(platform, "a")
+            )
+        lines = [record.message for record in handler.records]
+        odd = [line for line in lines if "target_entry_unreadable" in line]
+        self.assertEqual(3 * (len(oddvalues.ODD_BYTES) + 2), len(odd))
+        self.assertEqual([], [n for n in lines if "follow_failed" in n])
+
     def test_readiness_and_metrics(self):
         async def scenario(platform):
             client = await standins.LineClient.open(
