Check the records of the fleet, of which any may be odd

What callers saw: after another writer has overwritten one record among those that instances keep in the store, no instance may use any primary. The loop that reads the records fails at each read (`loop_failed`, KeyError 'epoch' or TypeError, twenty times in the test), so that all leases lapse; a record of no group at all suffices.

Cause: records are read field by field, wherever a field is needed, without a check of type, range or size. Any fault ends the read of all records.

All records of a read are now converted in `storedrecords.decode_records` into types that declare what each field may hold. An unreadable one costs itself alone, and is replaced by the instance that owns it: - Of a group: it may have announced any change, so it counts as a change in progress, of unknown successor. It spreads as any leadership does, no instance uses the old primary, and the holder of the duty completes the change, after the waits that a resumed change needs. If nobody knows the group's primary, the holder records the one that the targets report, after all instances have released what they had. - Of the duty: it names no holder. The first instance acquires the duty, and waits for the end of the entitlement that the previous holder may have. - Of an instance: changes still wait for an instance that is known; it writes its record again at its next read. - Of a challenge: it is replaced by the next one. Other records are ignored. Each is logged once for a revision.

--- a/balsamhinge/controllers/duty.py
+++ b/balsamhinge/controllers/duty.py
@@ -123,7 +123,7 @@
         record = leaders.duty_record
         if not self.held or self.is_outdated or record is None:
             return False
-        if storedrecords.written_revision(record) != self.fence:
+        if record.written_at != self.fence:
             return False
         now = self._fleet.dependencies.boot_time()
         return now - leaders.duty_read_at < ENTITLEMENT_S
@@ -223,8 +223,8 @@
         record = self._fleet.leaders.duty_record
         if record is None:
             return
-        revision = storedrecords.written_revision(record)
-        self.merge_holder(record.value["holder"], revision, "store")
+        revision = record.written_at
+        self.merge_holder(record.holder, revision, "store")
         if self.held and self.revision == revision != self.fence:
             # Acquired by an earlier process of this instance, or by a call
             # whose answer was lost.
@@ -355,7 +355,7 @@
         if self.holder != holder:
             return False
         challenge = leaders.challenge_record
-        if challenge is None or challenge.value["fence"] != self.revision:
+        if challenge is None or challenge.fence != self.revision:
             challenge = await leaders.put_record(
                 storedrecords.CHALLENGE_KEY,
                 {"fence": self.revision, "challenger": self._fleet.me.name},
@@ -374,7 +374,7 @@
     async def _answer_challenge(self):
         """Withdraw a challenge of this instance, the holder of the duty."""
         challenge = self._fleet.leaders.challenge_record
-        if challenge is None or challenge.value["fence"] != self.fence:
+        if challenge is None or challenge.fence != self.fence:
             return
         await self._fleet.leaders.store.delete(
             interfaces.LEADERS,
@@ -384,7 +384,7 @@
         event(
             log.notice,
             "duty_challenge_answered",
-            challenger=challenge.value["challenger"],
+            challenger=challenge.challenger,
         )
 
     async def _acquire(self):
@@ -409,7 +409,9 @@
         # The answer may be late. The entitlement is dated from the request,
         # as for a read. The wait, during which the entitlement of the
         # previous holder ends, starts when the write is certainly done.
-        leaders.duty_record = record
+        leaders.duty_record = storedrecords.DutyRecord(
+            self._fleet.me.name, record.revision, record.revision
+        )
         leaders.duty_read_at = asked_at
         self.may_promote_from = self._handover_ends_at(earlier)
         self.fence = record.revision
@@ -428,7 +430,7 @@
 
         Parameters
         ----------
-        earlier : Record or None
+        earlier : DutyRecord or None
             The record that it has replaced.
 
         Returns
@@ -443,8 +445,12 @@
             # The copy may name another than the latest holder, whose
             # entitlement ends this long after the restore.
             return self._fleet.store_health.restored_at + HANDOVER_DELAY_S
-        previous = earlier.value["holder"] if earlier else ""
-        if not previous or self._fleet.gossip.has_handed_over(previous):
+        if earlier is None:
+            return now
+        # An unreadable record does not tell who may still be entitled.
+        if earlier.holder and self._fleet.gossip.has_handed_over(
+            earlier.holder
+        ):
             return now
         return now + HANDOVER_DELAY_S
 
--- a/balsamhinge/controllers/failover.py
+++ b/balsamhinge/controllers/failover.py
@@ -96,8 +96,8 @@
 
     def _check_group(self, group):
         leadership = self._fleet.leaders.latest(group)
-        if leadership is None:
-            self._start_change(group, self._record_first(group))
+        if leadership is None or not leadership.target:
+            self._start_change(group, self._record_first(group, leadership))
             return
         if leadership.changing:
             self._start_change(
@@ -281,8 +281,20 @@
 
         self._fleet.spawn(probe())
 
-    async def _record_first(self, group):
-        """Record the primary of a group that has no record yet."""
+    async def _record_first(self, group, unreadable):
+        """Record the primary of a group that is not known.
+
+        Parameters
+        ----------
+        group : str
+            The group.
+        unreadable : Leadership or None
+            What its unreadable record stands for; None if it has none.
+        """
+        if unreadable is not None:
+            await self._await_releases(
+                unreadable, self._fleet.dependencies.boot_time()
+            )
         targets = self._fleet.directory.active_targets(group)
         reports = await self.query_reports(targets)
         leading = [
@@ -294,7 +306,9 @@
             await clock.pause(RETRY_DELAY_S)
             return
         first = leases.Leadership(group, max(leading)[1], 1)
-        await self._store_leadership(first, 0)
+        await self._store_leadership(
+            first, unreadable.revision if unreadable else 0
+        )
 
     async def _store_leadership(self, leadership, revision, publish=True):
         """Write a leadership record and merge it into the local state.
--- a/balsamhinge/controllers/leaders.py
+++ b/balsamhinge/controllers/leaders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import logbook
 
 from balsamhinge.controllers import clock
@@ -21,6 +22,7 @@
 ORDERLY_GRACE_S = 0.5
 # Instances that one log line names.
 MAX_LOGGED_NAMES = 5
+MAX_LOGGED_CHARS = 80
 
 log = logbook.Logger(__name__)
 
@@ -53,9 +55,9 @@
         instance has released the old primary.
     position_samples : dict of str to tuple
         By group, the epoch and the `PositionSamples` of its primary.
-    duty_record : Record or None
+    duty_record : DutyRecord or None
         The store's record of the holder of the promotion duty.
-    challenge_record : Record or None
+    challenge_record : ChallengeRecord or None
         The store's record of the latest challenge of that holder.
     duty_read_at : float
         Boot-clock seconds at which the last read of that record was
@@ -92,6 +94,9 @@
         self._valid = False
         # Whether the last own read of the store was of an earlier revision.
         self._ignoring_reads = False
+        # Revisions of the unreadable records of the latest read, by name.
+        self._unreadable = {}
+        self._unreadable_members = frozenset()
 
     @property
     def members(self):
@@ -107,8 +112,11 @@
     def is_registered(self):
         """Whether the store, as last restored, holds this instance's record.
 
-        A change of a primary waits for registered instances only.
+        A change of a primary waits for registered instances only. An
+        unreadable record is to be written again.
         """
+        if self._me.name in self._unreadable_members:
+            return False
         if self.registrations.confirmed_in < self._health.incarnation:
             return False
         return self.members.get(self._me.name) == self._me
@@ -299,6 +307,11 @@
         """
         before = self.latest(leadership.group)
         now = self.boot_time()
+        if not leadership.target and before is not None:
+            # The record is unreadable.
+            leadership = attrs.evolve(
+                leadership, target=before.target, epoch=before.epoch
+            )
         # Computed before the store read that shows the change extends leases.
         leases_end_at = self.book.valid_until(self.other_names)
         if not self.book.merge_leadership(leadership):
@@ -435,30 +448,25 @@
         asked_at : float
             Boot-clock seconds of the request.
         """
-        member_records = {}
+        decoded = storedrecords.decode_records(listing.records.values())
+        self._log_unreadable(listing, decoded.errors)
         listed_at = {}
-        for record in listing.records.values():
-            if record.name.startswith(storedrecords.GROUP_PREFIX):
-                leadership = storedrecords.decode_leadership(record)
-                listed_at[leadership.group] = leadership.revision
-                self.merge_leadership(leadership, "store")
-            elif record.name.startswith(storedrecords.MEMBER_PREFIX):
-                member_record = storedrecords.decode_member(record)
-                member_records[member_record.member.name] = member_record
+        for leadership in decoded.leaderships:
+            listed_at[leadership.group] = leadership.revision
+            self.merge_leadership(leadership, "store")
         if listing.as_of < self.listing.as_of:
             # Another task has received a later read meanwhile.
             return
         self.listing = listing
+        self._unreadable_members = decoded.unreadable_members
         if listing.as_of >= self.book.last_read.as_of:
             self.registrations.merge_listing(
-                member_records,
+                decoded.members | self._known_members(decoded),
                 revisions.incarnation_of(listing.as_of),
                 asked_at,
             )
-        self.duty_record = listing.records.get(storedrecords.DUTY_KEY)
-        self.challenge_record = listing.records.get(
-            storedrecords.CHALLENGE_KEY
-        )
+        self.duty_record = decoded.duty
+        self.challenge_record = decoded.challenge
         self.duty_read_at = asked_at
         self._set_outdated_groups(self._find_outdated_groups(listed_at))
         if not self.outdated_groups:
@@ -467,6 +475,32 @@
             )
         self.listing_merged()
 
+    def _known_members(self, decoded):
+        """Return what is known of the instances with unreadable records.
+
+        Changes of primaries still wait for such an instance.
+        """
+        known = self.registrations.records
+        return {
+            name: known[name]
+            for name in decoded.unreadable_members
+            if name in known
+        }
+
+    def _log_unreadable(self, listing, errors):
+        """Log each unreadable record once for each of its revisions."""
+        unreadable = {name: listing.records[name].revision for name in errors}
+        for name, revision in unreadable.items():
+            if self._unreadable.get(name) != revision:
+                event(
+                    log.error,
+                    "record_unreadable",
+                    name=repr(name[:MAX_LOGGED_CHARS]),
+                    revision=revisions.describe(revision),
+                    error=errors[name],
+                )
+        self._unreadable = unreadable
+
     def _find_outdated_groups(self, listed_at):
         """Return the groups whose record the latest read lacks.
 
