Refuse messages with a bare carriage return or line feed

LineBuffer split at each line feed and dropped a carriage return before it, if there was one.

Only CR LF ends a line now. A bare CR or LF is MALFORMED, a line that is too long TOOLARGE, both after the requests before them are answered; nothing of the message runs, and the session ends. The result does not depend on how the stream is cut into chunks, which a property test shows. No line with a CR or LF is sent, to targets and callers alike, and texts of refusals are one line.

test_daemon expected the detail 'unexpected message' for bytes that now have a bare line feed; it expects the new detail.

--- a/balsamhinge/exceptions.py
+++ b/balsamhinge/exceptions.py
@@ -11,6 +11,7 @@
     "InvalidToken",
     "KeyDenied",
     "LimitExceeded",
+    "MessageTooLong",
     "NotRunError",
     "OutcomeUnknown",
     "Overloaded",
@@ -173,6 +174,10 @@
     """A received message violates the protocol of its connection."""
 
 
+class MessageTooLong(ProtocolError):
+    """A received message is longer than the protocol allows."""
+
+
 class TargetUnreachable(ConnectionUnavailable):
     """A target did not answer a connection attempt."""
 
--- a/balsamhinge/platform/callers.py
+++ b/balsamhinge/platform/callers.py
@@ -168,8 +168,6 @@
         self._last_active_at = clock.now()
         # Whether to close the connection when all requests are answered.
         self._finishing = False
-        # Why a message could not be read; nothing is read after it.
-        self._unreadable = ""
         self._closing = False
         self._writable = asyncio.Event()
         self._writable.set()
@@ -197,18 +195,11 @@
 
     def data_received(self, data):
         """See `asyncio.Protocol`."""
-        try:
-            self._pending_lines.extend(self._buffer.feed(data))
-        except exceptions.ProtocolError as exc:
-            # Requests that came before are answered first.
-            self._unreadable = str(exc)
-            self._transport.pause_reading()
-            if self._task is None:
-                self._refuse(Problem.TOO_LARGE, self._unreadable)
-            return
-        if len(self._pending_lines) > MAX_QUEUED_REQUESTS:
+        self._pending_lines.extend(self._buffer.feed(data))
+        has_error = self._buffer.error is not None
+        if has_error or len(self._pending_lines) > MAX_QUEUED_REQUESTS:
             self._transport.pause_reading()
-        if self._task is None and self._pending_lines:
+        if self._task is None and (self._pending_lines or has_error):
             self._task = asyncio.ensure_future(self._process_lines())
 
     def eof_received(self):
@@ -230,11 +221,11 @@
                 await self._writable.wait()
                 if (
                     len(self._pending_lines) <= MAX_QUEUED_REQUESTS
-                    and not self._unreadable
+                    and self._buffer.error is None
                 ):
                     self._transport.resume_reading()
-            if self._unreadable and not self._closing:
-                self._refuse(Problem.TOO_LARGE, self._unreadable)
+            if self._buffer.error is not None and not self._closing:
+                self._refuse_unreadable(self._buffer.error)
         except Exception as exc:
             self._log_failure(exc)
             self._refuse(Problem.BUSY, "internal error")
@@ -260,11 +251,18 @@
 
     def _refuse(self, problem, detail):
         """Send an ERROR line and close the connection."""
-        self._write(
-            wire.encode_line(f"ERROR {wire.ERROR_CODES[problem]} {detail}")
-        )
+        self._write(wire.encode_line(wire.error_line(problem, detail)))
         self.close()
 
+    def _refuse_unreadable(self, error):
+        """Refuse a message that violates the protocol, and end the session."""
+        event(log.info, "message_refused", error=error)
+        match error:
+            case exceptions.MessageTooLong():
+                self._refuse(Problem.TOO_LARGE, str(error))
+            case _:
+                self._refuse(Problem.MALFORMED, str(error))
+
     def _write(self, data):
         if self._transport.is_closing():
             self._log_unanswered("answer_dropped")
--- a/balsamhinge/platform/targets.py
+++ b/balsamhinge/platform/targets.py
@@ -83,6 +83,8 @@
         try:
             for line in self._buffer.feed(data):
                 self._handle_line(line)
+            if self._buffer.error is not None:
+                raise self._buffer.error
         except exceptions.ProtocolError as exc:
             self._error = exc
             self.abort()
--- a/balsamhinge/platform/wire.py
+++ b/balsamhinge/platform/wire.py
@@ -23,6 +23,8 @@
 QUIT = "QUIT"
 # The limit that the protocol sets for one message.
 MAX_LINE_BYTES = 1024 * 1024
+TERMINATOR = b"\r\n"
+BARE_TERMINATOR = re.compile(rb"[\r\n]")
 # Prefix of the names of prepared statements on a shared connection.
 SHARED_NAME_PREFIX = "p"
 
@@ -60,50 +62,76 @@
 
 
 class LineBuffer:
-    """Splits a stream of received bytes into lines."""
+    """Splits a stream of received bytes into lines.
+
+    Attributes
+    ----------
+    error : ProtocolError or None
+        Why the rest of the stream cannot be read.
+    """
 
     def __init__(self):
         self._incomplete = bytearray()
+        self.error = None
 
     def feed(self, data):
         """Return the lines that `data` completes, without line terminators.
 
+        The result is the same for any cut of the stream into chunks. Nothing
+        is returned of a line that violates the protocol, nor after it.
+
         Parameters
         ----------
         data : bytes
             The bytes received next; an incomplete last line is buffered.
 
-        Raises
-        ------
-        ProtocolError
-            If a line is longer than `MAX_LINE_BYTES`.
+        Returns
+        -------
+        list of str
+            Invalid UTF-8 is preserved, so that `encode_line` restores it.
         """
-        self._incomplete += data
-        end = self._incomplete.rfind(b"\n")
-        if end < 0:
-            self._check_size(len(self._incomplete))
+        if self.error is not None:
             return []
-        complete = bytes(self._incomplete[:end])
-        del self._incomplete[: end + 1]
-        lines = complete.split(b"\n")
-        self._check_size(max(len(line) for line in lines))
-        self._check_size(len(self._incomplete))
-        # Invalid UTF-8 is preserved, so that `encode_line` restores it.
-        return [
-            line.removesuffix(b"\r").decode("utf-8", "surrogateescape")
-            for line in lines
-        ]
-
-    def _check_size(self, size):
-        if size > MAX_LINE_BYTES:
-            raise exceptions.ProtocolError(
-                f"a message is longer than {MAX_LINE_BYTES} bytes"
-            )
+        self._incomplete += data
+        *complete, self._incomplete = self._incomplete.split(TERMINATOR)
+        lines = []
+        for line in complete:
+            self.error = find_violation(line)
+            if self.error is not None:
+                return lines
+            lines.append(line.decode("utf-8", "surrogateescape"))
+        # The next byte may complete a terminator.
+        self.error = find_violation(self._incomplete.removesuffix(b"\r"))
+        return lines
+
+
+def find_violation(line):
+    """Return a `ProtocolError` if bytes cannot begin or be a line.
+
+    Only CR LF ends a line. A peer that takes a single CR or LF for an end
+    would find another message in it.
+    """
+    if BARE_TERMINATOR.search(line, 0, MAX_LINE_BYTES):
+        return exceptions.ProtocolError("a line has a bare CR or LF")
+    if len(line) > MAX_LINE_BYTES:
+        return exceptions.MessageTooLong(
+            f"a message is longer than {MAX_LINE_BYTES} bytes"
+        )
+    return None
 
 
 def encode_line(line):
-    """Return a line as bytes, with its line terminator."""
-    return (line + "\r\n").encode("utf-8", "surrogateescape")
+    """Return a line as bytes, with its line terminator.
+
+    Raises
+    ------
+    ProtocolError
+        If the line contains a CR or LF; it would be another message.
+    """
+    data = line.encode("utf-8", "surrogateescape")
+    if BARE_TERMINATOR.search(data):
+        raise exceptions.ProtocolError("a line has a bare CR or LF")
+    return data + TERMINATOR
 
 
 def parse_position(text):
@@ -202,11 +230,15 @@
     if answer.problem is None:
         lines.append(f"COMPLETE {answer.signature or '-'}")
     else:
-        lines.append(
-            f"ERROR {ERROR_CODES[answer.problem]} {answer.detail or '-'}"
-        )
+        lines.append(error_line(answer.problem, answer.detail))
     lines.append(encode_ready(answer.state, answer.position))
-    return encode_line("\r\n".join(lines))
+    return b"".join(map(encode_line, lines))
+
+
+def error_line(problem, detail):
+    """Return an ERROR line; `detail` may be the text of any exception."""
+    text = " ".join(detail.split()) or "-"
+    return f"ERROR {ERROR_CODES[problem]} {text}"
 
 
 def encode_ready(state, position=None):
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -179,7 +179,9 @@
             other = await standins.LineClient.open(platform.settings.callers)
             other.writer.write(bytes(range(256)) + b"\r\n")
             answer = await other.read_answer()
-            self.assertEqual(["ERROR MALFORMED unexpected message"], answer)
+            self.assertEqual(
+                ["ERROR MALFORMED a line has a bare CR or LF"], answer
+            )
             malformed = await platform.session("posts")
             answer = await malformed.request("QUERY 1 DROP everything")
             self.assertTrue(answer[0].startswith("ERROR MALFORMED"))
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -1,5 +1,7 @@
 """Tests of the line protocol."""
 
+import re
+
 import hypothesis
 from hypothesis import strategies
 import testtools
@@ -20,7 +22,7 @@
     @hypothesis.given(
         strategies.lists(
             strategies.binary(max_size=30).filter(
-                lambda line: b"\n" not in line and not line.endswith(b"\r")
+                lambda line: b"\n" not in line and b"\r" not in line
             )
         ),
         strategies.integers(1, 7),
@@ -29,16 +31,74 @@
     def test_lines_do_not_depend_on_the_chunk_size(self, lines, size):
         data = b"".join(line + b"\r\n" for line in lines)
         buffer = wire.LineBuffer()
-        received = []
-        for start in range(0, len(data), size):
-            received += buffer.feed(data[start : start + size])
+        received = feed_in_chunks(buffer, data, [size] * len(data))
         encoded = [wire.encode_line(line) for line in received]
         self.assertEqual([line + b"\r\n" for line in lines], encoded)
 
+    # Guards against a message whose end, or whose refusal, depends on how it
+    # was cut into packets.
+    @hypothesis.given(
+        strategies.lists(
+            strategies.sampled_from([b"\r", b"\n", b"\r\n", b"a", b"\xff"]),
+            max_size=30,
+        ).map(b"".join),
+        strategies.lists(strategies.integers(1, 9), max_size=60),
+    )
+    @hypothesis.settings(derandomize=True, deadline=None)
+    def test_any_bytes_are_read_alike_in_any_chunks(self, data, sizes):
+        whole, cut = wire.LineBuffer(), wire.LineBuffer()
+        lines = whole.feed(data)
+        self.assertEqual(lines, feed_in_chunks(cut, data, sizes))
+        self.assertIs(type(whole.error), type(cut.error))
+        for line in lines:
+            self.assertIsNone(re.search("[\r\n]", line))
+        ends_at = sum(len(wire.encode_line(line)) for line in lines)
+        rest = data[ends_at:]
+        is_bare = re.search(rb"\r(?!\n|\Z)|(?<!\r)\n", rest) is not None
+        self.assertEqual(is_bare, whole.error is not None)
+
+    # Guards against a value that ends its message, so that the rest of it
+    # runs as a message of its own.
+    def test_bare_line_end_is_refused_after_the_lines_before(self):
+        for end in (b"\n", b"\r", b"\r\r"):
+            buffer = wire.LineBuffer()
+            data = b"QUERY 1 READ a\r\nQUERY 2 WRITE a x" + end
+            lines = buffer.feed(data + b"QUERY 3 READ a\r\nQUIT\r\n")
+            self.assertEqual(["QUERY 1 READ a"], lines)
+            self.assertIsInstance(buffer.error, exceptions.ProtocolError)
+            self.assertEqual([], buffer.feed(b"QUIT\r\n"))
+
+    # Guards against text of ours or of a caller that ends a line sent to a
+    # target or a caller.
+    def test_no_line_with_a_line_end_is_sent(self):
+        for text in ("a\nb", "a\rb", "a\r\nb"):
+            self.assertRaises(exceptions.ProtocolError, wire.encode_line, text)
+        refusal = Answer.refusal(statements.Problem.BUSY, "a\r\nREADY I -")
+        self.assertEqual(
+            b"ERROR BUSY a READY I -\r\nREADY I -\r\n",
+            wire.encode_answer(refusal),
+        )
+
     def test_too_long_line_is_refused(self):
+        buffer = wire.LineBuffer()
+        buffer.feed(b"x" * wire.MAX_LINE_BYTES + b"\r")
+        self.assertIsNone(buffer.error)
+        buffer.feed(b"x")
+        self.assertIsInstance(buffer.error, exceptions.ProtocolError)
         buffer = wire.LineBuffer()
         buffer.feed(b"x" * wire.MAX_LINE_BYTES)
-        self.assertRaises(exceptions.ProtocolError, buffer.feed, b"x")
+        self.assertIsNone(buffer.error)
+        self.assertEqual([], buffer.feed(b"x"))
+        self.assertIsInstance(buffer.error, exceptions.MessageTooLong)
+
+
+def feed_in_chunks(buffer, data, sizes):
+    """Feed data in chunks of given sizes and a rest; return the lines."""
+    lines, start = [], 0
+    for size in sizes:
+        lines += buffer.feed(data[start : start + size])
+        start += size
+    return lines + buffer.feed(data[start:])
 
 
 class StatementTest(testtools.TestCase):
