Count a hand-over of the duty once and for a limited time

Cause: the last message of a stopping holder stayed in force until another one came from it. In a large fleet most instances do not call the new process, so a message of the earlier process counted as a hand-over of whatever the instance held by then: a successor asked nobody, did not wait, and promoted at once. Change: a hand-over counts for the record with which the duty was acquired, and for as long as no new process of the holder may promote, less the time for which a read entitles it (1.5 s). Ruled out: a hand-over of a holder that is changing a primary; it promises nothing, and its successor waits 3 s, as before. Evidence: test_a_hand_over_counts_for_one_acquisition and test_a_hand_over_ends_before_a_restarted_holder_may_promote failed before (the duty left a holder that all hear); both pass now, as do the tests of duty, gossip, failover, restoration and the fleet (62).

--- a/balsamhinge/controllers/duty.py
+++ b/balsamhinge/controllers/duty.py
@@ -40,6 +40,10 @@
 # Delay after which a new holder may call the platform: the previous holder
 # is no longer entitled, and its last call has timed out.
 HANDOVER_DELAY_S = 3.0
+# Age up to which the message of a stopping holder counts. A new process of the
+# holder waits for HANDOVER_DELAY_S as well, and the last read that entitles it
+# must show a successor's record.
+MAX_HANDED_OVER_AGE_S = HANDOVER_DELAY_S - ENTITLEMENT_S
 RETRY_DELAY_S = 0.2
 # An instance needs three gossip rounds after its start before it can tell
 # which instances are silent.
@@ -290,7 +294,7 @@
             running_s = clock.now() - self._fleet.started_at
             if running_s < STARTUP_S or self._is_holder_active():
                 return False
-            handed_over = gossip.has_handed_over(self.holder)
+            handed_over = self._has_handed_over()
             if gossip.full_rounds < MIN_FULL_ROUNDS and not handed_over:
                 return False
         return self._rank() == 0
@@ -312,7 +316,13 @@
         answers = self.holder in self._fleet.leaders.members and (
             not gossip.is_silent(self.holder)
         )
-        return answers and not gossip.has_handed_over(self.holder)
+        return answers and not self._has_handed_over()
+
+    def _has_handed_over(self):
+        """Return whether the holder is stopping and may be succeeded."""
+        return self._fleet.gossip.has_handed_over(
+            self.holder, self.revision, MAX_HANDED_OVER_AGE_S
+        )
 
     async def _may_succeed(self, holder):
         """Return whether the holder, and not this instance, is isolated."""
@@ -390,8 +400,7 @@
     async def _acquire(self):
         """Acquire the duty by a conditional write to the store."""
         holder = self.holder
-        gossip = self._fleet.gossip
-        if not self.held and not gossip.has_handed_over(holder):
+        if not self.held and not self._has_handed_over():
             if not await self._may_succeed(holder):
                 return
         await self._read()
@@ -449,7 +458,9 @@
             return now
         # An unreadable record does not tell who may still be entitled.
         if earlier.holder and self._fleet.gossip.has_handed_over(
-            earlier.holder
+            earlier.holder,
+            earlier.written_at,
+            MAX_HANDED_OVER_AGE_S,
         ):
             return now
         return now + HANDOVER_DELAY_S
--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -253,14 +253,28 @@
             return False
         return not self.last_messages[name].leaving
 
-    def has_handed_over(self, name):
-        """Return whether a stopping instance has finished its changes.
+    def has_handed_over(self, name, revision, max_age_s):
+        """Return whether a stopping holder of the duty has handed it over.
 
         It then has no change of a primary in progress and starts none.
+
+        Parameters
+        ----------
+        name : str
+            Name of the holder.
+        revision : int
+            Revision of the record with which it acquired the duty.
+        max_age_s : float
+            Age in seconds up to which its message counts. A process that
+            has started since may go on with the duty.
         """
         message = self.last_messages.get(name)
         return (
-            message is not None and message.leaving and message.promise_s > 0
+            message is not None
+            and message.leaving
+            and message.promise_s > 0
+            and message.holder_revision >= revision
+            and self._contact_age_s(name) < max_age_s
         )
 
     def live_names(self):
--- a/tests/controllers/test_duty.py
+++ b/tests/controllers/test_duty.py
@@ -2,10 +2,13 @@
 
 import asyncio
 
+import attrs
+
 from balsamhinge.controllers import clock
 from balsamhinge.controllers import duty
 from balsamhinge.controllers import storedrecords
 from balsamhinge import interfaces
+from balsamhinge.policy import leases
 from balsamhinge.policy import ownership
 from tests.support import virtual
 
@@ -13,6 +16,8 @@
 
 ANSWER_DELAY_S = 0.9
 POLL_INTERVAL_S = 0.002
+# Polls in which each instance considers several times to acquire the duty.
+STALE_STEPS = 1000
 # Longer than most partitions.
 PARTITION_S = 12.0
 # Time for the few instances that reach the store to find out that the holder
@@ -88,6 +93,55 @@
 
         self.run_fleet(scenario, instances=7)
 
+    def leave_behind(self, world, holder, revision, age_s):
+        """Let all hold a message of an earlier process of the holder.
+
+        It said that it was about to stop and had handed over the duty of a
+        revision. In a large fleet nothing replaces such a message until the
+        holder calls again.
+        """
+        for other in world.fleets.values():
+            if other is holder:
+                continue
+            message = holder.gossip.build_message(other.me.name)
+            other.gossip.last_messages[holder.me.name] = attrs.evolve(
+                message,
+                leaving=True,
+                promise_s=leases.PROMISE_S,
+                holder_revision=revision,
+            )
+            other.gossip.last_contact_at[holder.me.name] = clock.now() - age_s
+
+    # Guards against an instance that takes the duty, and promotes at once,
+    # beside a holder that has stopped, started again and acquired it anew.
+    def test_a_hand_over_counts_for_one_acquisition(self):
+        async def scenario(world):
+            holder = world.holder()
+            earlier = holder.duty.revision - 1
+            for _ in range(STALE_STEPS):
+                self.leave_behind(world, holder, earlier, 0.0)
+                await asyncio.sleep(POLL_INTERVAL_S)
+            self.assertEqual([holder.me.name], self.list_holders(world))
+
+        self.run_fleet(scenario)
+
+    # Guards against the same where the duty was not acquired meanwhile, and
+    # the holder's new process goes on with it.
+    def test_a_hand_over_ends_before_a_restarted_holder_may_promote(self):
+        async def scenario(world):
+            holder = world.holder()
+            for _ in range(STALE_STEPS):
+                self.leave_behind(
+                    world,
+                    holder,
+                    holder.duty.revision,
+                    duty.HANDOVER_DELAY_S - duty.ENTITLEMENT_S,
+                )
+                await asyncio.sleep(POLL_INTERVAL_S)
+            self.assertEqual([holder.me.name], self.list_holders(world))
+
+        self.run_fleet(scenario)
+
     def test_the_last_live_instance_acquires_the_duty(self):
         async def scenario(world):
             holder = world.holder().me.name
