--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -89,43 +89,56 @@
             writer.close()
 
     async def _handle_connection(self, reader, writer):
+        conn = None
+        try:
+            while line := await reader.readline():
+                text = line.decode().removesuffix("\r\n")
+                self.received.append(text)
+                word, _, rest = text.partition(" ")
+                if word == "CONNECT":
+                    conn = await self._open(rest.split(" "), writer)
+                    if conn is None:
+                        break
+                elif word == "QUERY":
+                    await self._execute(conn, rest, writer)
+                else:
+                    break
+                await writer.drain()
+        except ConnectionError:
+            # The instance has reset the connection, or it has ended.
+            pass
+        finally:
+            if conn is not None:
+                conn.abort()
+            writer.close()
+
+    async def _open(self, fields, writer):
+        """Answer a CONNECT; return the connection, or None if refused."""
+        if fields[2] != self.target.name:
+            writer.write(b"ERROR WRONGNODE other\r\n")
+            return None
         connector = replicas.ReplicaTargetLink(
             {self.target.group.name: self.target.group}, "line"
         )
-        conn = None
-        while line := await reader.readline():
-            text = line.decode().removesuffix("\r\n")
-            self.received.append(text)
-            word, _, rest = text.partition(" ")
-            if word == "CONNECT":
-                parts = rest.split(" ")
-                if parts[2] != self.target.name:
-                    writer.write(b"ERROR WRONGNODE other\r\n")
-                    break
-                try:
-                    conn = await connector.connect(self.target.entry(), 0.1)
-                except exceptions.ConnectionRejected as exc:
-                    code = wire.ERROR_CODES[exc.problem]
-                    writer.write(f"ERROR {code} x\r\n".encode())
-                    break
-                writer.write(b"READY I 1.0\r\n")
-            elif word == "QUERY":
-                request_id, _, statement = rest.partition(" ")
-                order = self._parse_order(request_id, statement)
-                answer = await conn.send(order)
-                if order.request_id == "" and answer.rows:
-                    # The further fields of STATUS: held term, lag, busy and
-                    # connections.
-                    answer = attrs.evolve(
-                        answer, rows=(f"{answer.rows[0]} 0 0 0 1",)
-                    )
-                writer.write(wire.encode_answer(answer))
-            else:
-                break
-            await writer.drain()
-        if conn is not None:
-            conn.abort()
-        writer.close()
+        try:
+            conn = await connector.connect(self.target.entry(), 0.1)
+        except exceptions.ConnectionRejected as exc:
+            code = wire.ERROR_CODES[exc.problem]
+            writer.write(f"ERROR {code} x\r\n".encode())
+            return None
+        writer.write(b"READY I 1.0\r\n")
+        return conn
+
+    async def _execute(self, conn, rest, writer):
+        """Answer a QUERY."""
+        request_id, _, statement = rest.partition(" ")
+        order = self._parse_order(request_id, statement)
+        answer = await conn.send(order)
+        if order.request_id == "" and answer.rows:
+            # The further fields of STATUS: held term, lag, busy and
+            # connections.
+            answer = attrs.evolve(answer, rows=(f"{answer.rows[0]} 0 0 0 1",))
+        writer.write(wire.encode_answer(answer))
 
     def _parse_order(self, request_id, text):
         needed = None
@@ -184,8 +197,8 @@
     async def _serve(self, reader, writer):
         try:
             await self._handle_connection(reader, writer)
-        except asyncio.CancelledError:
-            # The test has ended.
+        except (asyncio.CancelledError, ConnectionError):
+            # The test or the instance has ended.
             writer.close()
 
     async def _handle_connection(self, reader, writer):
