--- a/tests/platform/stopcallers.py
+++ b/tests/platform/stopcallers.py
@@ -28,6 +28,7 @@
     "transactions": 8,
     "busy": 2,
     "pipelined": 1,
+    "direct": 1,
 }
 
 
@@ -186,7 +187,7 @@
         act = getattr(self, f"_act_{kind}")
         left = None
         while self._playing:
-            instance = self._fleet.choose(centre, self._rng, left)
+            instance = self._choose(kind, centre, left)
             session = await self._open(kind, instance)
             if session is None:
                 left = instance
@@ -199,6 +200,12 @@
                 left = instance
             session.close()
 
+    def _choose(self, kind, centre, left):
+        """Return the instance for a new session."""
+        if kind == "direct":
+            return self._rng.choice(self._fleet.instances)
+        return self._fleet.choose(centre, self._rng, left)
+
     async def _open(self, kind, instance):
         """Return a `CallerSession`, or None if none was accepted."""
         name = self._rng.choices(list(DATABASES), DATABASES.values())[0]
@@ -239,6 +246,10 @@
         await session.request(self._statement(session))
         await self._pause(0.05)
 
+    async def _act_direct(self, session):
+        """Use a session for one operation, also while instances stop."""
+        await session.request(self._statement(session))
+
     async def _act_busy(self, session):
         """Send one statement after the other."""
         while self._playing and not session.is_ended:
