--- a/tests/platform/stopcallers.py
+++ b/tests/platform/stopcallers.py
@@ -168,13 +168,13 @@
         )
         self._playing = True
 
-    async def run(self, kinds):
-        """Run callers until `stop` is called."""
+    async def run(self, kinds, factor):
+        """Run `factor` times the usual callers until `stop` is called."""
         running = [
             self._run_caller(kind, centre)
             for kind in kinds
             for centre in stopfleet.CENTRES
-            for _number in range(KINDS[kind])
+            for _number in range(KINDS[kind] * factor)
         ]
         await asyncio.gather(*running)
 
--- a/tests/platform/stopfleet.py
+++ b/tests/platform/stopfleet.py
@@ -122,6 +122,14 @@
             with contextlib.suppress(ProcessLookupError):
                 self.process.send_signal(number)
 
+    def has_ended(self):
+        """Return whether the kernel has ended the process."""
+        flags = os.WEXITED | os.WNOHANG | os.WNOWAIT
+        try:
+            return os.waitid(os.P_PID, self.process.pid, flags) is not None
+        except ChildProcessError:
+            return True
+
     async def watch(self):
         """Wait for the end of the process."""
         await self.process.wait()
@@ -366,9 +374,12 @@
             async with asyncio.timeout_at(incarnation.stopped_at + GRACE_S):
                 await incarnation.exited.wait()
         except TimeoutError:
-            incarnation.send_signal(signal.SIGKILL)
+            # The end of the process may not have been noticed yet.
+            if not incarnation.has_ended():
+                incarnation.send_signal(signal.SIGKILL)
+                await incarnation.exited.wait()
+                return False
             await incarnation.exited.wait()
-            return False
         return True
 
     async def stop(self):
--- a/tests/platform/stopsoak.py
+++ b/tests/platform/stopsoak.py
@@ -63,6 +63,8 @@
     ----------
     kinds : tuple of str
         Kinds of callers.
+    factor : int
+        Factor of the usual number of callers.
     play_s : float
         Seconds in which stops begin.
     second_term, hup, configurations, again : bool
@@ -72,6 +74,7 @@
     """
 
     kinds: tuple = tuple(stopcallers.KINDS)
+    factor: int = 1
     play_s: float = 30.0
     second_term: bool = True
     hup: bool = True
@@ -284,7 +287,9 @@
     async def _play(self):
         loop = asyncio.get_running_loop()
         self._started_at = loop.time()
-        calling = asyncio.ensure_future(self._callers.run(self._options.kinds))
+        calling = asyncio.ensure_future(
+            self._callers.run(self._options.kinds, self._options.factor)
+        )
         self._fleet.spawn(self._watch_stalls())
         ends_at = loop.time() + self._options.play_s
         await asyncio.gather(
@@ -400,10 +405,15 @@
         soak = StopSoak(seed, options or Options(), logs)
         return asyncio.run(soak.play())
 
-    if folder is not None:
-        return run(pathlib.Path(folder) / f"seed-{seed}")
-    with tempfile.TemporaryDirectory(prefix="stopsoak") as made:
-        return run(pathlib.Path(made))
+    # Instances would inherit that SIGHUP is ignored, as under nohup.
+    earlier = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    try:
+        if folder is not None:
+            return run(pathlib.Path(folder) / f"seed-{seed}")
+        with tempfile.TemporaryDirectory(prefix="stopsoak") as made:
+            return run(pathlib.Path(made))
+    finally:
+        signal.signal(signal.SIGHUP, earlier)
 
 
 def report(outcome):
@@ -438,6 +448,7 @@
     parser.add_argument(
         "--callers", nargs="+", choices=stopcallers.KINDS, metavar="KIND"
     )
+    parser.add_argument("--factor", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--no-second", action="store_true")
     parser.add_argument("--no-hup", action="store_true")
@@ -446,6 +457,7 @@
     args = parser.parse_args(argv)
     options = Options(
         kinds=tuple(args.callers or stopcallers.KINDS),
+        factor=args.factor,
         play_s=args.seconds,
         second_term=not args.no_second,
         hup=not args.no_hup,
