--- a/tests/platform/stopfleet.py
+++ b/tests/platform/stopfleet.py
@@ -116,11 +116,13 @@
 
     def send_signal(self, number):
         """Send a signal to the process if it still runs."""
-        if self.is_running:
-            now = asyncio.get_running_loop().time()
-            self.signals.append((now, number))
-            with contextlib.suppress(ProcessLookupError):
-                self.process.send_signal(number)
+        if not self.is_running or self.has_ended():
+            return
+        now = asyncio.get_running_loop().time()
+        self.signals.append((now, number))
+        # `Process.send_signal` may take the exit code from the loop.
+        with contextlib.suppress(ProcessLookupError):
+            os.kill(self.process.pid, number)
 
     def has_ended(self):
         """Return whether the kernel has ended the process."""
