Show that a stop fails if a peer ended just before

`StreamServer.drain` writes to the stream of a peer whose end the loop has not noticed; the peer's kernel resets the connection, and the shutdown of the sending side fails. No caller lost an answer, but replies to other instances are cut.

--- a/tests/peers/test_streams.py
+++ b/tests/peers/test_streams.py
@@ -338,6 +338,19 @@
 
         self.run_peer(scenario)
 
+    # Guards against a stop that fails because a peer ended just before.
+    def test_drain_after_the_end_of_a_peer(self):
+        async def scenario(peer):
+            sock = socket.create_connection((real.HOST, peer.port))
+            while not peer.server.streams:
+                await asyncio.sleep(0)
+            # The loop has not noticed the end when the drain begins.
+            sock.close()
+            await peer.drain()
+            self.assertEqual(set(), peer.server.streams)
+
+        self.run_peer(scenario)
+
 
 class StreamFailureTest(testtools.TestCase):
     """Calls that get no answer."""
