Let a stop end streams whose peer ended just before

The drain of an instance ended with OSError (107, transport endpoint is not connected) if the process of a peer had ended a moment before: the end of the stream cannot be sent any more. Nobody handled the error, so calls of other peers were cut and the process ended with it.

Such a stream is aborted.

--- a/balsamhinge/peers/streams.py
+++ b/balsamhinge/peers/streams.py
@@ -324,7 +324,11 @@
         self.transport.write(
             encode_frame(0, Method.CLOSING, self._last_handled)
         )
-        self.transport.write_eof()
+        try:
+            self.transport.write_eof()
+        except OSError:
+            # The peer has ended, which the loop has not noticed yet.
+            self.transport.abort()
 
     def handle_frame(self, frame):
         """Serve a request; the first frame must carry the secret."""
