Release a connection whose rollback is refused

A host that accepts no more orders refuses a rollback as not run. The session expected errors of the target only: the background task failed, the connection was never released, and the primary it was opened for counted as in use for good, so that each later planned change of it waited its whole grace period.

--- a/balsamhinge/sessions/session.py
+++ b/balsamhinge/sessions/session.py
@@ -339,19 +339,21 @@
     async def _roll_back_at_target(self, conn):
         """Roll back at the target, then release the connection."""
         order = statements.Order(statements.Rollback())
+        usable = False
         try:
             answer = await conn.execute(
                 order, clock.now() + connections.SESSION_STATE_TIMEOUT_S
             )
-            conn.release(usable=answer.state is State.IDLE)
-        except exceptions.TargetError as exc:
+            usable = answer.state is State.IDLE
+        except (exceptions.NotRunError, exceptions.TargetError) as exc:
             event(
                 log.info,
                 "rollback_failed",
                 target=conn.target.name,
                 error=exc,
             )
-            conn.release(usable=False)
+        finally:
+            conn.release(usable)
 
     def give_up(self, statement, problem):
         """End the processing of a statement whose answer is not known.
--- a/tests/sessions/test_session.py
+++ b/tests/sessions/test_session.py
@@ -178,6 +178,25 @@
 
         self.run_fleet(scenario)
 
+    # Guards against a connection that counts as working for the primary for
+    # good because its rollback was refused: later changes wait for it.
+    def test_a_refused_rollback_releases_its_connection(self):
+        async def scenario(world):
+            caller = world.caller("south-1", "posts")
+            await caller.ask(statements.Begin())
+            await caller.write("a", "1")
+            conn = caller.session._transaction.conn
+
+            async def refuse(_conn, _order, _deadline):
+                raise exceptions.NotRunError("the loan has ended")
+
+            self.patch(connections.LocalConnection, "execute", refuse)
+            await caller.ask(statements.Rollback())
+            await asyncio.sleep(connections.SESSION_STATE_TIMEOUT_S)
+            self.assertTrue(conn.released)
+
+        self.run_fleet(scenario)
+
     # Guards against a commit that is reported in doubt, and is not repeated by
     # its caller, although it was never sent.
     def test_a_commit_that_was_not_sent_is_aborted(self):
