Go on following the store after an object that cannot be decoded

What callers saw: an instance of `balsamhinged` follows neither the configuration nor the list of machines any more after one object that cannot be decoded; one that starts beside such a configuration ends; a group whose record is odd gets no new primary.

Cause: the loop that watches an object ends with the error of the decoder, and nobody restarts it. The same error leaves the start, and the promotion.

Such an object is now no object, with a log line: the loop waits for its next version, a start goes on with what other instances know, and a claim of a term replaces the record. Terms are limited to what messages carry. A response without a version is "store unavailable".

--- a/balsamhinge/controllers/configuration.py
+++ b/balsamhinge/controllers/configuration.py
@@ -11,6 +11,7 @@
 from balsamhinge.configuration import parsing
 from balsamhinge.configuration import plan
 from balsamhinge.controllers import changenotifier
+from balsamhinge.controllers import storedobjects
 from balsamhinge import exceptions
 from balsamhinge import interfaces
 from balsamhinge.logs import event
@@ -33,7 +34,8 @@
     version : int
         Version of the edit in the store, 0 if the store has none yet.
     text : ConfigurationVersion or None
-        The edited configuration; None if the store has none yet.
+        The edited configuration; None if the store has none that can be
+        decoded.
     """
 
     version: int
@@ -203,9 +205,9 @@
 
 
 def decode_configuration(stored):
-    """Return the `ConfigurationVersion` in a store object."""
-    return msgspec.json.decode(
-        stored.value, type=interfaces.ConfigurationVersion
+    """Return the `ConfigurationVersion` in an object; None if unreadable."""
+    return storedobjects.decode(
+        interfaces.CONFIGURATION_KEY, stored, interfaces.ConfigurationVersion
     )
 
 
--- a/balsamhinge/controllers/dissemination.py
+++ b/balsamhinge/controllers/dissemination.py
@@ -4,10 +4,10 @@
 
 import attrs
 import logbook
-import msgspec
 
 from balsamhinge.controllers import clock
 from balsamhinge.controllers import configuration
+from balsamhinge.controllers import storedobjects
 from balsamhinge import exceptions
 from balsamhinge import interfaces
 from balsamhinge.logs import event
@@ -314,9 +314,11 @@
             return False
 
     def _update_members(self, stored):
-        platform_list = msgspec.json.decode(
-            stored.value, type=interfaces.PlatformInventory
+        platform_list = storedobjects.decode(
+            interfaces.INSTANCES_KEY, stored, interfaces.PlatformInventory
         )
+        if platform_list is None:
+            return
         if self._members.update(stored.version, platform_list):
             self.publish_members(self._members.me.data_centre)
 
--- a/balsamhinge/controllers/promotions.py
+++ b/balsamhinge/controllers/promotions.py
@@ -1,12 +1,14 @@
 """Runs promotions, switchovers and voter changes of target groups."""
 
 import asyncio
+import typing
 
 import attrs
 import logbook
 import msgspec
 
 from balsamhinge.controllers import clock
+from balsamhinge.controllers import storedobjects
 from balsamhinge import exceptions
 from balsamhinge.logs import event
 from balsamhinge.policy import majorities
@@ -24,6 +26,9 @@
 MAX_RECORD_ATTEMPTS = 300
 CONNECTION_PURPOSE = "promote"
 
+# Messages between instances carry integers of 64 bits.
+MAX_TERM = (1 << 62) - 1
+
 log = logbook.Logger(__name__)
 
 
@@ -43,11 +48,17 @@
         Voting targets under that term.
     """
 
-    term: int
+    term: typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_TERM)]
     proposer: str
     primary: str = ""
     voters: list[str] = attrs.Factory(list)
 
+    def supersedes(self, record):
+        """Return whether a record must not replace this one."""
+        return self.term > record.term or (
+            self.term == record.term and bool(self.primary)
+        )
+
 
 def group_key(group):
     """Return the store key of a group's record."""
@@ -304,14 +315,16 @@
 
     async def _claim_stored_term(self, group, term):
         store = self._core.dependencies.store
-        stored = await store.get(group_key(group))
+        key = group_key(group)
+        stored = await store.get(key)
         version = 0
         if stored is not None:
             version = stored.version
-            record = msgspec.json.decode(stored.value, type=GroupRecord)
-            term = max(term, record.term + 1)
+            record = storedobjects.decode(key, stored, GroupRecord)
+            if record is not None:
+                term = max(term, record.term + 1)
         claim = GroupRecord(term, self._core.members.me.name)
-        await store.put(group_key(group), msgspec.json.encode(claim), version)
+        await store.put(key, msgspec.json.encode(claim), version)
         return term
 
     def _adopt_leader(self, group, leader):
@@ -339,14 +352,13 @@
 
     async def _record_view_once(self, record, group):
         store = self._core.dependencies.store
-        stored = await store.get(group_key(group))
+        key = group_key(group)
+        stored = await store.get(key)
         version = 0
         if stored is not None:
             version = stored.version
-            stored_record = msgspec.json.decode(stored.value, type=GroupRecord)
-            if stored_record.term > record.term:
-                return True
-            if stored_record.term == record.term and stored_record.primary:
+            stored_record = storedobjects.decode(key, stored, GroupRecord)
+            if stored_record is not None and stored_record.supersedes(record):
                 return True
-        await store.put(group_key(group), msgspec.json.encode(record), version)
+        await store.put(key, msgspec.json.encode(record), version)
         return True
--- a/balsamhinge/platform/client.py
+++ b/balsamhinge/platform/client.py
@@ -1,5 +1,7 @@
 """Client of the platform's object store over HTTP."""
 
+import re
+
 import httpx
 
 from balsamhinge import exceptions
@@ -11,6 +13,7 @@
 PRECONDITION_FAILED = 412
 NOT_FOUND = 404
 NOT_MODIFIED = 304
+VERSION = re.compile(r"[0-9]{1,15}", re.ASCII)
 
 
 class HttpStore(interfaces.ObjectStoreClient):
@@ -48,7 +51,7 @@
         response = await self._send("PUT", key, headers, value)
         if response.status_code == PRECONDITION_FAILED:
             raise exceptions.StoreConflict(response.text)
-        return interfaces.StoredObject(int(response.headers["ETag"]), value)
+        return interfaces.StoredObject(_decode_version(response), value)
 
     async def watch(self, key, after, timeout_s):
         """See `ObjectStoreClient.watch`."""
@@ -92,7 +95,18 @@
 
 
 def _decode_object(response):
-    """Decode a response into a `StoredObject` object."""
-    return interfaces.StoredObject(
-        int(response.headers["ETag"]), response.content
-    )
+    """Decode a response into a `StoredObject` object.
+
+    Raises
+    ------
+    StoreUnavailable
+        If it has no version.
+    """
+    return interfaces.StoredObject(_decode_version(response), response.content)
+
+
+def _decode_version(response):
+    text = response.headers.get("ETag", "")
+    if not VERSION.fullmatch(text):
+        raise exceptions.StoreUnavailable("no version in the response")
+    return int(text)
