--- a/balsamhinge/controllers/storedrecords.py
+++ b/balsamhinge/controllers/storedrecords.py
@@ -195,21 +195,21 @@
 
 
 def _decode_record(record, decoded):
-    match record.name.partition("."):
-        case ("duty", "", ""):
-            value = _convert(record, _DutyValue)
-            decoded.duty = DutyRecord(
-                value.holder, _written_revision(record, value), record.revision
-            )
-        case ("duty-challenge", "", ""):
-            value = _convert(record, _ChallengeValue)
-            decoded.challenge = ChallengeRecord(
-                value.fence, value.challenger, record.revision
-            )
-        case ("group", ".", _):
-            decoded.leaderships.append(decode_leadership(record))
-        case ("member", ".", name):
-            decoded.members[name] = decode_member(record)
+    if record.name == DUTY_KEY:
+        value = _convert(record, _DutyValue)
+        decoded.duty = DutyRecord(
+            value.holder, _written_revision(record, value), record.revision
+        )
+    elif record.name == CHALLENGE_KEY:
+        value = _convert(record, _ChallengeValue)
+        decoded.challenge = ChallengeRecord(
+            value.fence, value.challenger, record.revision
+        )
+    elif record.name.startswith(MEMBER_PREFIX):
+        member_record = decode_member(record)
+        decoded.members[member_record.member.name] = member_record
+    elif record.name.startswith(GROUP_PREFIX):
+        decoded.leaderships.append(decode_leadership(record))
 
 
 def _add_unreadable(record, decoded):
