Keep odd addresses, epochs and replies from ending loops

The review of the checked records found three values that still passed: an address of an instance whose host name cannot be looked up raised UnicodeError out of gossip calls, and failed the loop that made them; a reply of an instance that cannot be decoded did the same with ValidationError; and the highest accepted epoch of a group was followed by one that every instance but its writer calls unreadable, so that instances that started later could not use the group's primary.

An address in a record is an IP:port, checked as a target's is; unreadable replies and addresses count as an instance that is unavailable; and an epoch stays within what is readable. The virtual fleet's addresses are IP:port now.

--- a/balsamhinge/controllers/failover.py
+++ b/balsamhinge/controllers/failover.py
@@ -386,7 +386,7 @@
         completed = attrs.evolve(
             leadership,
             target=chosen,
-            epoch=leadership.epoch + 1,
+            epoch=storedrecords.next_epoch(leadership.epoch),
             changing=False,
             orderly=False,
             successor="",
--- a/balsamhinge/controllers/storedrecords.py
+++ b/balsamhinge/controllers/storedrecords.py
@@ -6,6 +6,7 @@
 import attrs
 import msgspec
 
+from balsamhinge.policy import addresses
 from balsamhinge.policy import gossipmessages
 from balsamhinge.policy import leases
 from balsamhinge.policy import ownership
@@ -20,6 +21,7 @@
     "decode_records",
     "group_key",
     "member_key",
+    "next_epoch",
     "record_value",
 ]
 
@@ -304,6 +306,8 @@
     msgspec.ValidationError
     """
     value = _convert(record, _MemberValue)
+    if not addresses.is_endpoint(value.address):
+        raise msgspec.ValidationError("address is no IP:port")
     member = ownership.Member(
         record.name.removeprefix(MEMBER_PREFIX),
         value.address,
@@ -314,6 +318,11 @@
     )
 
 
+def next_epoch(epoch):
+    """Return the epoch that follows, which stays within what is readable."""
+    return min(epoch + 1, MAX_EPOCH)
+
+
 def record_value(leadership):
     """Return the value to store for a leadership."""
     return {
--- a/balsamhinge/peers/fleet.py
+++ b/balsamhinge/peers/fleet.py
@@ -76,28 +76,28 @@
         body = await self._call(
             member, "Exchange", envelope(message), timeout_s, GOSSIP
         )
-        return msgspec.msgpack.decode(body, type=gossipmessages.GossipMessage)
+        return decode_reply(member, body, gossipmessages.GossipMessage)
 
     async def fetch_table(self, member, request, timeout_s):
         """See `FleetPeerClient.fetch_table`."""
         body = await self._call(
             member, "Table", envelope(request), timeout_s, TABLES
         )
-        return msgspec.msgpack.decode(body, type=routingdeltas.TableReply)
+        return decode_reply(member, body, routingdeltas.TableReply)
 
     async def borrow(self, member, request, timeout_s):
         """See `FleetPeerClient.borrow`."""
         body = await self._call(
             member, "Borrow", envelope(request), timeout_s, LOANS
         )
-        return msgspec.msgpack.decode(body, type=loans.BorrowReply)
+        return decode_reply(member, body, loans.BorrowReply)
 
     async def run(self, member, request, timeout_s):
         """See `FleetPeerClient.run`."""
         body = await self._call(
             member, "Run", envelope(request), timeout_s, LOANS
         )
-        return msgspec.msgpack.decode(body, type=loans.RunReply)
+        return decode_reply(member, body, loans.RunReply)
 
     async def give_back(self, member, loan, usable, timeout_s):
         """See `FleetPeerClient.give_back`."""
@@ -167,6 +167,20 @@
         await asyncio.gather(*self._closing)
 
 
+def decode_reply(member, body, reply_type):
+    """Decode the reply of an instance.
+
+    Raises
+    ------
+    PeerUnavailable
+        If it cannot be decoded.
+    """
+    try:
+        return msgspec.msgpack.decode(body, type=reply_type)
+    except msgspec.DecodeError as exc:
+        raise exceptions.PeerUnavailable(member.name, True) from exc
+
+
 class FleetServer(peers_pb2_grpc.FleetServicer):
     """Passes calls of other instances to the controllers.
 
--- a/balsamhinge/peers/streamclient.py
+++ b/balsamhinge/peers/streamclient.py
@@ -201,7 +201,10 @@
             if clock.now() - conn.opened_at >= MIN_STREAM_AGE_S:
                 self._drop(member.name, purpose, cached)
             raise exceptions.PeerUnavailable(member.name, True) from exc
-        return REPLY_DECODERS[method].decode(body)
+        try:
+            return REPLY_DECODERS[method].decode(body)
+        except msgspec.DecodeError as exc:
+            raise exceptions.PeerUnavailable(member.name, True) from exc
 
     async def _wait_opened(self, member, cached, until):
         try:
@@ -209,7 +212,8 @@
                 return await asyncio.shield(cached.opening)
         except ConnectionRefusedError:
             raise
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, UnicodeError) as exc:
+            # UnicodeError: the address has a host name of an invalid form.
             raise exceptions.PeerUnavailable(member.name, False) from exc
         except asyncio.CancelledError as exc:
             # The opening was cancelled because the client was closed.
--- a/balsamhinge/platform/decoding.py
+++ b/balsamhinge/platform/decoding.py
@@ -1,13 +1,12 @@
 """Decodes objects of the platform into policy types."""
 
-import ipaddress
 import math
-import re
 
 import logbook
 
 from balsamhinge.logs import event
 from balsamhinge.platform import fields
+from balsamhinge.policy import addresses
 from balsamhinge.policy import customers
 from balsamhinge.policy import routes
 
@@ -36,8 +35,6 @@
 MAX_SLOTS = 65536
 MAX_CONNECTIONS = 1 << 31
 MAX_PRIORITY = 1 << 31
-ADDRESS = re.compile(r"([0-9a-f.:]{2,45}):([1-9][0-9]{0,4})", re.ASCII)
-MAX_PORT = 65535
 TARGET_STATES = ("ready", "draining")
 
 log = logbook.Logger(__name__)
@@ -257,13 +254,6 @@
 def _decode_address(spec):
     """Return an address as IP:port that a connection can be opened to."""
     text = fields.word(spec, "address")
-    match = ADDRESS.fullmatch(text)
-    if not match or int(match[2]) > MAX_PORT:
+    if not addresses.is_endpoint(text):
         raise fields.InvalidField("address is no IP:port")
-    try:
-        address = ipaddress.ip_address(match[1])
-    except ValueError as exc:
-        raise fields.InvalidField("address is no IP:port") from exc
-    if address.is_unspecified or address.is_multicast:
-        raise fields.InvalidField("address is of no machine")
     return text
--- a/tests/controllers/test_unreadablerecords.py
+++ b/tests/controllers/test_unreadablerecords.py
@@ -62,6 +62,8 @@
     # it, or is used.
     def test_an_odd_field_makes_its_record_unreadable(self):
         odd_words = (None, 7, [], {}, "", "a b", "a\n", "\ud800", "x" * 9999)
+        # The first two cannot be looked up.
+        odd_addresses = ("a..b:1", f"{'x' * 64}:1", "10.0.0.1", "10.0.0.1:0")
         odd_numbers = (None, True, "3", 1.5, -1, 2**64, 10**400, float("nan"))
         for name, field, odds in (
             ("group.ladder", "target", odd_words),
@@ -71,6 +73,7 @@
             ("group.ladder", "successor", (None, 1, [], "x" * 9999)),
             ("group.ladder", "incarnation", ("0", True, -1, 1, 10**30)),
             ("member.north-1", "address", odd_words),
+            ("member.north-1", "address", odd_addresses),
             ("member.north-1", "data_centre", odd_words),
             ("duty", "holder", odd_words),
             ("duty-challenge", "fence", odd_numbers),
@@ -229,6 +232,19 @@
 
         self.run_fleet(scenario, groups=2)
 
+    # Guards against a change of a primary that writes a record which no other
+    # instance can read.
+    def test_the_epoch_after_the_highest_one_is_readable(self):
+        name, highest = "group.ladder", storedrecords.MAX_EPOCH
+        for epoch in (1, highest - 1, highest):
+            following = storedrecords.next_epoch(epoch)
+            value = VALUES[name] | {"epoch": following}
+            decoded = storedrecords.decode_records(
+                [interfaces.Record(name, 7, value)]
+            )
+            self.assertEqual({}, decoded.errors)
+            self.assertGreaterEqual(following, epoch)
+
     # Guards against an instance that the changes of primaries do not wait
     # for, though it has a lease.
     def test_an_unreadable_record_of_an_instance_is_replaced(self):
--- a/tests/peers/test_streams.py
+++ b/tests/peers/test_streams.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 
+import attrs
 import testtools
 
 from balsamhinge.controllers import clock
@@ -65,12 +66,13 @@
 
     def __init__(self, secret=SECRET):
         self.lender = Lender()
+        self.receive = lambda message: Message("one", holder=message.sender)
         self.port = real.free_port()
         address = f"{real.HOST}:{real.free_port()}"
         self.member = ownership.Member("one", address, "n")
         self.server = streams.StreamServer(
             fleet.stream_handlers(
-                lambda message: Message("one", holder=message.sender),
+                lambda message: self.receive(message),
                 self.lender,
                 self.lender.serve_allowance,
             ),
@@ -433,6 +435,27 @@
         real.run_real(run())
         self.assertEqual(2, len(accepted))
 
+    # Guards against an instance whose loops fail because the address or an
+    # answer of another one cannot be read.
+    def test_unreadable_peer_counts_as_unavailable(self):
+        async def run():
+            async with Peer().running() as peer:
+                odd = [
+                    attrs.evolve(peer.member, name=name, address=address)
+                    for name, address in (
+                        ("a", "a..b:1"),
+                        ("b", f"{'x' * 64}:1"),
+                    )
+                ]
+                peer.receive = lambda _message: {"sender": 7}
+                for member in (peer.member, *odd):
+                    with self.assertRaises(exceptions.PeerUnavailable):
+                        await peer.client.exchange(
+                            member, Message("two"), real.LIMIT_S
+                        )
+
+        real.run_real(run())
+
     # Guards against instances of an earlier release that lose the others
     # while a fleet is replaced one instance after the other.
     def test_instance_without_streams_is_called_by_grpc(self):
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -251,8 +251,8 @@
                 name, CENTRES, most=connections
             )
         self.members = [
-            ownership.Member(f"{centre}-{n}", f"{centre}-{n}:1", centre)
-            for centre in CENTRES
+            ownership.Member(f"{centre}-{n}", f"10.{zone}.0.{n}:1", centre)
+            for zone, centre in enumerate(CENTRES)
             for n in range(1, instances + 1)
         ]
         self.version = 1
