--- a/balsamhinge/platform/callers.py
+++ b/balsamhinge/platform/callers.py
@@ -354,13 +354,8 @@
         if (route := self._session.route) is not None:
             metrics.observe_priority(route.priority, elapsed_s)
         self._write(wire.encode_answer(answer))
-        shutdown = self._fleet.shutdown
-        if (
-            answer.problem is not None
-            and answer.state is State.IDLE
-            and shutdown is not None
-            and shutdown.refuses_operations(clock.now())
-        ):
+        refused = answer.problem is not None and answer.state is State.IDLE
+        if refused and self._is_refusing():
             # The caller has to repeat its request at another instance.
             self._finishing = True
 
@@ -396,10 +391,24 @@
             self._answer_timeout.reschedule(deadline)
 
     def is_idle(self):
-        """Return whether no request runs and no transaction is open."""
+        """Return whether no request runs and no transaction is open.
+
+        A transaction that has failed counts as open until a shutdown
+        refuses new operations.
+        """
         if self._task is not None:
             return False
-        return self._session is None or self._session.state is State.IDLE
+        state = State.IDLE if self._session is None else self._session.state
+        return state is State.IDLE or (
+            state is State.FAILED and self._is_refusing()
+        )
+
+    def _is_refusing(self):
+        """Return whether a shutdown refuses new operations by now."""
+        shutdown = self._fleet.shutdown
+        return shutdown is not None and shutdown.refuses_operations(
+            clock.now()
+        )
 
     def idle_s(self):
         """Return the seconds since the latest answer; 0 while one is due."""
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -226,6 +226,25 @@
 
         self.run_platform(scenario)
 
+    # Guards against a stop that lasts for the whole grace time because the
+    # caller of a failed transaction is silent.
+    def test_failed_transaction_does_not_hold_up_a_stop(self):
+        async def scenario(platform):
+            (caller,) = await self.open_callers(platform, ["posts"])
+            await caller.request("BEGIN")
+            await caller.request("EXECUTE unknown a")
+            server, grace_s = platform.daemon._callers, 60.0
+            schedule = shutdown.ShutdownSchedule.from_grace(
+                clock.now() - 0.6 * grace_s, grace_s
+            )
+            platform.daemon.fleet.shutdown = schedule
+            server.stop_listening()
+            await server.drain(schedule)
+            self.assertTrue(await caller.is_closed())
+            self.assertLess(clock.now(), schedule.answer_by)
+
+        self.run_platform(scenario)
+
     # Guards against a stop that leaves the caller of a statement without an
     # answer because the target gives none.
     def test_statement_without_an_answer_is_given_up_before_the_end(self):
