Guard the mends of a stop with tests that fail without them

The review took single mends of the stop out and found the tests green: the limit for running answers, the release of a connection after an error, the end of the session, and the order in which the daemon drains its parts.

--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -265,6 +265,7 @@
                 await asyncio.sleep(POLL_S)
             platform.daemon.request_stop()
             answers = await asyncio.gather(*running)
+            self.assertFalse(platform.running.done())
             self.assertTrue(answers[0][0].startswith("ERROR INDOUBT"), answers)
             self.assertTrue(answers[1][0].startswith("ERROR ABORTED"), answers)
             self.assertTrue(await write.is_closed())
@@ -334,6 +335,28 @@
 
         self.run_platform(scenario)
 
+    # Guards against a connection that is never used again, and a session that
+    # goes on in an unknown state, after an unexpected error.
+    def test_error_ends_the_session_and_frees_its_connection(self):
+        used = []
+
+        async def fail(conn, *_args):
+            used.append(conn)
+            raise LookupError("a fault")
+
+        async def scenario(platform):
+            client = await platform.session("posts")
+            with mock.patch.object(
+                connections.LocalConnection, "execute", fail
+            ):
+                client.writer.write(b"QUERY 1 WRITE a 1\r\nQUERY 2 BEGIN\r\n")
+                answers = [await client.read_answer() for _ in range(2)]
+            codes = [answer[0].split()[1] for answer in answers]
+            self.assertEqual(["INDOUBT", "BUSY"], codes)
+            self.assertEqual([True], [conn.released for conn in used])
+
+        self.run_platform(scenario)
+
     # Guards against a promise that nothing is kept of a write that has run.
     def test_error_after_a_write_leaves_it_in_doubt(self):
         def fail(*_args):
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -160,6 +160,54 @@
 
         self.run_platform(scenario)
 
+    # Guards against a stop that cuts the statements or replies of other
+    # instances, or returns no connection that a session had borrowed.
+    def test_stop_ends_every_component_before_the_instance_halts(self):
+        steps = []
+
+        def record(owner, name):
+            function = getattr(owner, name)
+
+            async def run(*args):
+                steps.append(f"{name} begins")
+                await function(*args)
+                steps.append(f"{name} ends")
+
+            self.patch(owner, name, run)
+
+        async def scenario(platform):
+            stopping = platform.daemon
+            for owner, name in (
+                (stopping._callers, "drain"),
+                (stopping, "_drain_loans"),
+                (stopping._stream_server, "drain"),
+                (stopping.fleet, "halt"),
+            ):
+                record(owner, name)
+            client = await platform.session("posts")
+            await client.request("QUERY 1 BEGIN")
+            stopping.request_stop()
+            while "_drain_loans ends" not in steps:
+                await asyncio.sleep(0.01)
+            # The loans are drained beside the callers.
+            self.assertNotIn("drain ends", steps)
+            await client.request("QUERY 2 ROLLBACK")
+            await platform.running
+            # Callers, loans, streams, then the rest.
+            ended = [step for step in steps if step.endswith("ends")]
+            self.assertEqual(
+                [
+                    "_drain_loans ends",
+                    "drain ends",
+                    "_drain_loans ends",
+                    "drain ends",
+                    "halt ends",
+                ],
+                ended,
+            )
+
+        self.run_platform(scenario)
+
     def test_pipelined_requests_are_answered_in_order(self):
         async def scenario(platform):
             client = await platform.session("fixtures")
