Bound the cost of an unreadable value in the store

What callers saw: one odd object of up to 1 MiB in the store stops the event loop of each instance for seconds at each read of its kind; leases lapse, and a SIGTERM that comes then is handled too late for its grace time.

Cause: to split a value, the decoder took one interpreter step for each run of brackets, again at each of up to seven levels, also in the content of objects that are of no use unless all of it can be decoded.

Callers now name the parts of a response that may be unreadable on their own. Below `spec` only a configuration has any. An object or array of more than 20,000 members, any of them unreadable, is unreadable as a whole. Unreadable keys of a customer now cost themselves alone in watches too.

--- a/balsamhinge/platform/bodies.py
+++ b/balsamhinge/platform/bodies.py
@@ -1,36 +1,33 @@
 """Decodes JSON bodies, of which single values may be unreadable."""
 
 import enum
-import math
+import functools
+import itertools
+import operator
 import re
 
 import msgspec
 
 __all__ = ["UNREADABLE", "decode"]
 
-# Levels at which an unreadable value is split into its members: the body,
-# its list, an event, an object, its spec, a list in it and an entry of that.
-MAX_SPLIT_LEVELS = 7
-# Of these, the levels that the store adds to what is stored. Below them, a
-# value of more than this depth is not split.
-STORE_LEVELS = 4
-MAX_STORED_DEPTH = 64
+# Limits the members of one object or array that are decoded one by one.
+MAX_MEMBERS = 20_000
+# Depth up to which brackets are skipped by one pattern.
+MAX_PATTERN_DEPTH = 32
+# Bytes in which the end of a deeper value is sought first.
+FIRST_CHUNK_BYTES = 256
 
 _STRING = rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"'
 _KEY = re.compile(rb"\s*+(" + _STRING + rb")\s*+:", re.DOTALL)
-
-
-def _compile_token(stops):
-    """Return a pattern that skips to a stop, bracket or unclosed string."""
-    plain = rb'[^"\[\]{}' + stops + rb"]*+"
-    skipped = plain + rb"(?:" + _STRING + plain + rb")*+"
-    found = rb'([\[{]+|[\]}]+|"|\Z'
-    found += rb"|" + stops + rb")" if stops else rb")"
-    return re.compile(skipped + found, re.DOTALL)
-
-
-_MEMBER_TOKEN = _compile_token(b",")
-_NESTED_TOKEN = _compile_token(b"")
+_BLANKS = re.compile(rb"\s*+")
+_QUOTED = re.compile(_STRING, re.DOTALL)
+_COMPLETE_STRINGS = re.compile(rb'(?:[^"]++|' + _STRING + rb")*+", re.DOTALL)
+_BRACKET = re.compile(
+    rb'[^"\[\]{}]*+(?:' + _STRING + rb'[^"\[\]{}]*+)*+[\[\]{}]', re.DOTALL
+)
+_OTHER_BYTES = bytes(set(range(256)) - set(b"[]{}"))
+# Signed bytes: 1 for an opening bracket, -1 for a closing one.
+_STEPS = bytes.maketrans(b"[{]}", b"\x01\x01\xff\xff")
 
 
 class _Marker(enum.Enum):
@@ -42,105 +39,215 @@
 UNREADABLE = _Marker.UNREADABLE
 
 
-def decode(data):
+def decode(data, parts):
     """Decode a JSON body.
 
     Parameters
     ----------
     data : bytes or bytearray
         The body.
+    parts : dict or list
+        Which values may be unreadable on their own: the members of an object
+        by a dict, the elements of an array by a list of one item. A dict
+        holds, by key, the parts of members that may be unreadable in part;
+        the item is that of each element, None if an element may not.
 
     Returns
     -------
     object
-        The value. Members that are nested too deeply, have a number out of
+        The value. Parts that are nested too deeply, have a number out of
         range or are no valid text are `UNREADABLE`; members whose key is
         unreadable are left out. All others are as they would be without
-        them.
+        them. An object or array of more than `MAX_MEMBERS` members, any of
+        them unreadable, is `UNREADABLE` as a whole.
 
     Raises
     ------
     ValueError
         If the body as a whole is unreadable.
+
+    Notes
+    -----
+    The interpreter takes a number of steps for each member that may be
+    unreadable on its own; their content is skipped by patterns, whose time
+    is linear in its length.
     """
-    value = _decode_value(bytes(data), MAX_SPLIT_LEVELS)
+    data = bytes(data).strip()
+    value = _decode_whole(data)
+    if value is UNREADABLE and _is_splittable(data, 0, parts):
+        value, end = _decode_members(data, 0, parts)
+        if end != len(data):
+            value = UNREADABLE
     if value is UNREADABLE:
         raise ValueError(f"unreadable body of {len(data)} bytes")
     return value
 
 
-def _decode_value(data, levels):
-    """Return a value, `UNREADABLE` as a whole or in some of its members."""
+def _decode_whole(data):
     try:
         return msgspec.json.decode(data)
     except (ValueError, RecursionError):
-        pass
-    data = data.strip()
-    if not levels or data[:1] not in (b"{", b"["):
-        return UNREADABLE
-    try:
-        parts = _split_members(data, _max_depth(levels))
-    except ValueError:
         return UNREADABLE
-    if data.startswith(b"["):
-        return [_decode_value(part, levels - 1) for part in parts]
-    return dict(_decode_members(parts, levels - 1))
 
 
-def _decode_members(parts, levels):
-    """Yield the keys and values of an object's members."""
-    for part in parts:
-        key = _KEY.match(part)
-        name = _decode_value(key[1], 0) if key else UNREADABLE
-        if name is not UNREADABLE:
-            yield name, _decode_value(part[key.end() :], levels)
+def _is_splittable(data, start, parts):
+    """Return whether a value is of the type that its parts are of."""
+    match parts:
+        case dict():
+            return data.startswith(b"{", start)
+        case list():
+            return data.startswith(b"[", start)
+    return False
 
 
-def _max_depth(levels):
-    """Return the depth up to which a value is split, by levels left."""
-    stored = levels <= MAX_SPLIT_LEVELS - STORE_LEVELS
-    return MAX_STORED_DEPTH if stored else math.inf
+def _has_nested_parts(parts):
+    inner = parts.values() if isinstance(parts, dict) else parts
+    return any(part is not None for part in inner)
 
 
-def _split_members(data, max_depth):
-    """Return the members of an object or array, without decoding them.
-
-    Only strings and brackets are told apart, so that neither the depth of a
-    member nor its other content matters.
-
-    Parameters
-    ----------
-    data : bytes
-        The object or array, without blanks around it.
-    max_depth : float
-        Accepted depth of brackets.
+def _decode_value(data, start, parts):
+    """Decode the value at a position.
 
     Returns
     -------
-    list of bytes
+    value : object
+        It is `UNREADABLE` as a whole or in some of its parts.
+    end : int
+        Position of the comma or bracket after it.
 
     Raises
     ------
     ValueError
-        If it is deeper, or if the brackets or a string are not closed at the
-        end of the data.
+        If a bracket or a string is not closed.
+    """
+    start = _BLANKS.match(data, start).end()
+    splittable = _is_splittable(data, start, parts)
+    value = UNREADABLE
+    if splittable and _has_nested_parts(parts):
+        # A value that is split first is read once, not at each level.
+        value, after = _decode_members(data, start, parts)
+        end = _skip_value(data, after)
+        if data[after:end].strip():
+            return UNREADABLE, end
+    else:
+        end = _skip_value(data, start)
+        value = _decode_whole(data[start:end])
+        if value is UNREADABLE and splittable:
+            value, after = _decode_members(data, start, parts)
+            if data[after:end].strip():
+                return UNREADABLE, end
+    return value, end
+
+
+def _decode_members(data, start, parts):
+    """Decode the members of the object or array that begins at a position.
+
+    Returns
+    -------
+    value : dict or list or _Marker
+    end : int
+        Position after its closing bracket.
+    """
+    is_object = isinstance(parts, dict)
+    members, position = [], start + 1
+    for _ in range(MAX_MEMBERS):
+        position = _BLANKS.match(data, position).end()
+        if data[position : position + 1] in (b"]", b"}"):
+            break
+        if is_object:
+            position = _decode_member(data, position, parts, members)
+        else:
+            value, position = _decode_value(data, position, parts[0])
+            members.append(value)
+        if data[position : position + 1] != b",":
+            break
+        position += 1
+    else:
+        return UNREADABLE, _skip_value(data, start)
+    return dict(members) if is_object else members, position + 1
+
+
+def _decode_member(data, start, parts, members):
+    """Add the member at a position, and return the position after it.
+
+    A member whose key cannot be decoded is not added.
+    """
+    key = _KEY.match(data, start)
+    name = _decode_whole(key[1]) if key else UNREADABLE
+    if name is UNREADABLE:
+        return _skip_value(data, start)
+    value, end = _decode_value(data, key.end(), parts.get(name))
+    members.append((name, value))
+    return end
+
+
+@functools.cache
+def _compile_balanced():
+    """Return a pattern for all up to a comma or an odd bracket or quote.
+
+    The pattern is possessive: it never tries a second way to match, so its
+    time is linear in the length of what it matches. Its compilation takes
+    milliseconds.
+    """
+    plain = rb'[^"\[\]{}]*+'
+    balanced = plain + rb"(?:" + _STRING + plain + rb")*+"
+    for _ in range(MAX_PATTERN_DEPTH - 1):
+        balanced = _surround(plain, balanced)
+    return re.compile(_surround(rb'[^"\[\]{},]*+', balanced), re.DOTALL)
+
+
+def _surround(plain, content):
+    """Return a pattern for text that has brackets around a content in it."""
+    group = rb"(?:" + _STRING + rb"|[\[{]" + content + rb"[\]}])"
+    return plain + rb"(?:" + group + plain + rb")*+"
+
+
+def _skip_value(data, position):
+    """Return the position of the next comma or closing bracket.
+
+    Only strings and brackets are told apart, so that neither the depth of a
+    value nor its other content matters.
     """
-    parts, depth, position, start = [], 1, 1, 1
-    while 0 < depth <= max_depth:
-        token = _MEMBER_TOKEN if depth == 1 else _NESTED_TOKEN
-        match = token.match(data, position)
-        position, found = match.end(), match[1]
-        match found[:1]:
-            case b"," if depth == 1:
-                parts.append(data[start : position - 1])
-                start = position
+    while True:
+        position = _compile_balanced().match(data, position).end()
+        match data[position : position + 1]:
+            case b"," | b"]" | b"}":
+                return position
             case b"[" | b"{":
-                depth += len(found)
-            case b"]" | b"}" if len(found) <= depth:
-                depth -= len(found)
+                position = _skip_deep_value(data, position)
             case _:
-                raise ValueError("unbalanced")
-    if depth or position != len(data):
-        raise ValueError("too deep, or data after the end")
-    last = data[start : position - 1]
-    return [*parts, last] if last.strip() else parts
+                raise ValueError("a bracket or a string is not closed")
+
+
+def _skip_deep_value(data, position):
+    """Return the position after an object or array of any depth."""
+    depth, size = 0, FIRST_CHUNK_BYTES
+    while position < len(data):
+        chunk = _COMPLETE_STRINGS.match(data, position, position + size)[0]
+        if not chunk and position + size >= len(data):
+            break
+        steps = memoryview(
+            _QUOTED.sub(b"", chunk).translate(_STEPS, _OTHER_BYTES)
+        ).cast("b")
+        try:
+            index = operator.indexOf(itertools.accumulate(steps), -depth)
+        except ValueError:
+            depth += sum(steps)
+            position += len(chunk)
+            size *= 2
+            continue
+        return _skip_brackets(data, position, size, index + 1)
+    raise ValueError("a bracket or a string is not closed")
+
+
+def _skip_brackets(data, position, size, count):
+    """Return the position after a number of brackets, all within a size."""
+    while size > FIRST_CHUNK_BYTES:
+        size //= 2
+        chunk = _COMPLETE_STRINGS.match(data, position, position + size)[0]
+        found = len(_QUOTED.sub(b"", chunk).translate(None, _OTHER_BYTES))
+        if found < count:
+            position += len(chunk)
+            count -= found
+    brackets = _BRACKET.finditer(data, position)
+    return next(itertools.islice(brackets, count - 1, None)).end()
--- a/balsamhinge/platform/decoding.py
+++ b/balsamhinge/platform/decoding.py
@@ -10,7 +10,7 @@
 from balsamhinge.policy import customers
 from balsamhinge.policy import routes
 
-__all__ = ["routing_table", "serving_target"]
+__all__ = ["ROUTING_TABLE_PARTS", "routing_table", "serving_target"]
 
 MS_PER_S = fields.MS_PER_S
 FRESHNESS_OF_ROUTE_TYPE = {
@@ -37,6 +37,15 @@
 MAX_PRIORITY = 1 << 31
 TARGET_STATES = ("ready", "draining")
 
+# Values of a configuration that may be unreadable on their own, see
+# `bodies.decode`.
+ROUTING_TABLE_PARTS = {
+    "routes": [{}],
+    "services": [{}],
+    "tenants": [{"api_keys": [None]}],
+    "limits": {},
+}
+
 log = logbook.Logger(__name__)
 
 
--- a/balsamhinge/platform/envelopes.py
+++ b/balsamhinge/platform/envelopes.py
@@ -11,6 +11,7 @@
     "decode_list",
     "decode_number",
     "decode_object",
+    "response_parts",
 ]
 
 
@@ -69,3 +70,15 @@
     if not isinstance(items, list):
         raise fields.InvalidField(f"{name} is no list")
     return items
+
+
+def response_parts(spec_parts=None):
+    """Return the parts of a response that may be unreadable on their own.
+
+    Parameters
+    ----------
+    spec_parts : dict or list, optional
+        Those of the content of each object, see `bodies.decode`.
+    """
+    stored = {"meta": {}, "spec": spec_parts}
+    return {"items": [stored], "events": [{"object": stored}], **stored}
--- a/balsamhinge/platform/http.py
+++ b/balsamhinge/platform/http.py
@@ -76,7 +76,9 @@
         self._port = int(port)
         self._idle = []
 
-    async def call(self, method, path, body=None, headers=(), timeout_s=1.0):
+    async def call(
+        self, method, path, body=None, headers=(), timeout_s=1.0, parts=None
+    ):
         """Send a request and return its `HttpResponse`.
 
         Parameters
@@ -90,6 +92,9 @@
         timeout_s : float
             Seconds until the response begins; a large one may take longer
             as long as its chunks keep arriving.
+        parts : dict or list, optional
+            Values of the response that may be unreadable on their own, see
+            `bodies.decode`; by default the members of an object.
 
         Raises
         ------
@@ -102,7 +107,7 @@
             async with asyncio.timeout(timeout_s) as call_timeout:
                 conn = self._idle.pop() if self._idle else await self._open()
                 self._send(conn, method, path, body, headers)
-                response = await _receive(conn, call_timeout)
+                response = await _receive(conn, call_timeout, parts or {})
         except (
             OSError,
             TimeoutError,
@@ -174,7 +179,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
-async def _receive(conn, call_timeout):
+async def _receive(conn, call_timeout, parts):
     """Read an `HttpResponse` from a connection.
 
     Parameters
@@ -183,6 +188,8 @@
         The connection on which the request was sent.
     call_timeout : asyncio.Timeout
         Timeout of the call; it is extended while the response arrives.
+    parts : dict or list
+        See `bodies.decode`.
     """
     loop = asyncio.get_running_loop()
     status, headers = 0, {}
@@ -205,7 +212,7 @@
             received += event.data
         elif isinstance(event, h11.EndOfMessage):
             is_read = received and status < FIRST_REFUSAL_STATUS
-            body = bodies.decode(received) if is_read else None
+            body = bodies.decode(received, parts) if is_read else None
             return HttpResponse(status, body, headers)
         elif isinstance(event, h11.ConnectionClosed):
             raise ValueError("connection closed before the response")
--- a/balsamhinge/platform/objects.py
+++ b/balsamhinge/platform/objects.py
@@ -10,6 +10,7 @@
 from balsamhinge import exceptions
 from balsamhinge import interfaces
 from balsamhinge import metrics
+from balsamhinge.platform import decoding
 from balsamhinge.platform import envelopes
 from balsamhinge.platform import fields
 from balsamhinge.platform import http
@@ -22,6 +23,14 @@
 # The platform's names of these kinds of objects; all other kinds have the
 # same name in the store.
 PLATFORM_KINDS = {interfaces.ROUTES: "config", interfaces.TARGETS: "servers"}
+# Parts of responses that may be unreadable on their own. Only in the content
+# of a configuration are there entries that are used without the others.
+RESPONSE_PARTS = {
+    PLATFORM_KINDS[interfaces.ROUTES]: envelopes.response_parts(
+        decoding.ROUTING_TABLE_PARTS
+    )
+}
+OTHER_RESPONSE_PARTS = envelopes.response_parts()
 CALL_TIMEOUT_S = 1.0
 # The store answers a watch at most this long after the requested wait; added
 # to the wait, it is the timeout of the call.
@@ -172,7 +181,11 @@
         self._call_counts[f"{call}_{kind}"] += 1
         try:
             response = await self._client.call(
-                method, path, body, timeout_s=timeout_s
+                method,
+                path,
+                body,
+                timeout_s=timeout_s,
+                parts=RESPONSE_PARTS.get(kind, OTHER_RESPONSE_PARTS),
             )
         except exceptions.PlatformUnavailable as exc:
             metrics.observe_store_call(kind, call, "silent")
