Close connections of callers that a stopping instance refuses

What callers saw: an instance that waits for its last requests answered new ones with 503 on connections that it kept open. Their callers sent the next request on them, and the stop closed such a connection with a request on its way. Cause: nothing told callers that the connection ends. Change: a refusal because of a stop carries Connection: close. Evidence: test_refusals_during_a_stop_end_their_connection failed before (no such header); it passes now with the other tests of the HTTP interface (5). Open: an idle connection on which nothing was refused is still closed without a word, as HTTP/1.1 has none.

--- a/balsamhinge/api/callers.py
+++ b/balsamhinge/api/callers.py
@@ -152,6 +152,9 @@
     ):
         seconds = max(MIN_RETRY_AFTER_S, math.ceil(reply.retry_after_s))
         headers.append(("Retry-After", str(seconds)))
+    if reply.reason is messages.Reason.DRAINING:
+        # The connection is closed soon; a request on its way would be lost.
+        headers.append(("Connection", "close"))
     return status, headers, bodies.encode_answer(answer)
 
 
--- a/tests/api/test_server.py
+++ b/tests/api/test_server.py
@@ -78,7 +78,10 @@
         with context.wrap_socket(sock, server_hostname=real.HOST) as wrapped:
             wrapped.sendall(REQUEST)
             response = b""
-            while data := wrapped.recv(65536):
+            # The body ends the response: the server may keep the connection.
+            while not response.endswith(b"}") and (
+                data := wrapped.recv(65536)
+            ):
                 response += data
         head = response.partition(b"\r\n\r\n")[0].decode()
         lines = head.split("\r\n")
@@ -148,6 +151,16 @@
 
         self.run_server(scenario)
 
+    # Guards against a request that is on its way as the stop closes its idle
+    # connection: callers use a connection on until they are told not to.
+    def test_refusals_during_a_stop_end_their_connection(self):
+        def scenario(stopping):
+            status, headers = self.post(self.connect())
+            self.assertEqual("503", status)
+            self.assertEqual("close", headers["Connection"])
+
+        self.run_server(scenario)
+
     # Guards against callers that wait for one that connects and sends
     # nothing.
     def test_silent_caller_delays_no_other(self):
