Wait for announced promotions before an unreadable record is replaced

The holder of the duty replaced a group's unreadable record, of which nobody knew the content, as soon as all instances had released the primary. The record may have announced a promotion that an earlier holder has requested; it could take effect after the new record, and the group would have two primaries.

The holder waits until it may promote itself and until earlier requests have taken effect, as for a change that it resumes.

--- a/balsamhinge/controllers/failover.py
+++ b/balsamhinge/controllers/failover.py
@@ -292,9 +292,12 @@
             What its unreadable record stands for; None if it has none.
         """
         if unreadable is not None:
-            await self._await_releases(
-                unreadable, self._fleet.dependencies.boot_time()
-            )
+            boot_time = self._fleet.dependencies.boot_time
+            await self._await_releases(unreadable, boot_time())
+            # The record may have announced a promotion that takes effect yet.
+            await self._await_promotion_right()
+            while boot_time() < self._promotions_settle_at():
+                await clock.pause(POLL_INTERVAL_S)
         targets = self._fleet.directory.active_targets(group)
         reports = await self.query_reports(targets)
         leading = [
@@ -529,11 +532,15 @@
         """
         if not leadership.successor:
             return True
+        boot_time = self._fleet.dependencies.boot_time
+        return boot_time() >= self._promotions_settle_at()
+
+    def _promotions_settle_at(self):
+        """Return when earlier requests have taken effect, in boot seconds."""
         requested_at = max(
             self._fleet.duty.may_promote_from, self._requested_at
         )
-        settled_at = requested_at + PROMOTE_CALL_TIMEOUT_S + TAKEOVER_TIMEOUT_S
-        return self._fleet.dependencies.boot_time() >= settled_at
+        return requested_at + PROMOTE_CALL_TIMEOUT_S + TAKEOVER_TIMEOUT_S
 
     async def query_reports(self, targets):
         """Query the status of targets concurrently.
--- a/tests/controllers/test_unreadablerecords.py
+++ b/tests/controllers/test_unreadablerecords.py
@@ -9,6 +9,7 @@
 
 from balsamhinge.controllers import clock
 from balsamhinge.controllers import duty
+from balsamhinge.controllers import failover
 from balsamhinge.controllers import storedrecords
 from balsamhinge import interfaces
 from balsamhinge import logs
@@ -191,6 +192,15 @@
                 world.group.primary.name,
                 world.holder().leaders.latest("ladder-1").target,
             )
+            # A promotion that the record announced has taken effect by then.
+            holder = world.holder()
+            settled_at = (
+                holder.duty.may_promote_from
+                + failover.PROMOTE_CALL_TIMEOUT_S
+                + failover.TAKEOVER_TIMEOUT_S
+            )
+            now = holder.dependencies.boot_time()
+            self.assertGreaterEqual(now, settled_at)
 
         self.run_fleet(scenario, groups=2)
 
