Let a release of a primary hold for all records of its change

Cause: the grace period of an orderly change began anew with each record of the change.

A further record of the same change keeps the grace period of the announcement, and a release that was given stays given. A change that follows another one has a grace period of its own. An instance that misses the record between two changes takes them for one, and aborts open transactions at once.

--- a/balsamhinge/controllers/leaders.py
+++ b/balsamhinge/controllers/leaders.py
@@ -306,7 +306,6 @@
             "store", "own", or the instance that sent the record.
         """
         before = self.latest(leadership.group)
-        now = self.boot_time()
         if not leadership.target and before is not None:
             # The record is unreadable.
             leadership = attrs.evolve(
@@ -317,9 +316,7 @@
         if not self.book.merge_leadership(leadership):
             return
         if leadership.changing:
-            self._grace_ends_at[leadership.group] = min(
-                leases_end_at, now + ORDERLY_GRACE_S
-            )
+            self._merge_change(leadership, before, leases_end_at)
         event(
             log.notice,
             "leadership",
@@ -334,6 +331,33 @@
         self._release_unused()
         self._notify()
 
+    def _merge_change(self, leadership, before, leases_end_at):
+        """Begin the grace period of a change, or go on with it.
+
+        A change has several records: the holder of the duty adds the
+        successor once all instances have released the old primary.
+
+        Parameters
+        ----------
+        leadership : Leadership
+            The new record.
+        before : Leadership or None
+            The record that it replaces.
+        leases_end_at : float
+            Boot-clock seconds until which the old primary could be used.
+        """
+        group = leadership.group
+        if (
+            before is None
+            or not before.changing
+            or not before.is_same_leader(leadership)
+        ):
+            self._grace_ends_at[group] = min(
+                leases_end_at, self.boot_time() + ORDERLY_GRACE_S
+            )
+        elif self.released.get(group, 0) >= before.revision:
+            self.released[group] = leadership.revision
+
     def merge_store_read(self, knowledge, source):
         """Extend leases by a read of the store, of any instance.
 
--- a/tests/controllers/test_leaders.py
+++ b/tests/controllers/test_leaders.py
@@ -1,16 +1,17 @@
-"""Tests of leaderships whose epoch was given out a second time."""
+"""Tests of what an instance may do under a leadership."""
 
 import asyncio
 
 import attrs
 
+from balsamhinge.controllers import leaders
 from balsamhinge.policy import leases
 from balsamhinge.policy import loans
 from balsamhinge.policy import positions
 from balsamhinge.policy import revisions
 from tests.support import virtual
 
-__all__ = ["ReusedEpochTest"]
+__all__ = ["ChangeTest", "ReusedEpochTest"]
 
 # Incarnation of the store in which the epoch is given out again.
 INCARNATION = 1
@@ -91,3 +92,71 @@
                 await asyncio.sleep(0.1)
 
         self.run_fleet(scenario)
+
+
+class ChangeTest(virtual.FleetTestCase):
+    """Records of one planned change of a primary."""
+
+    def merge_record(self, one, known, number, **changes):
+        """Have an instance learn of a further record of a group."""
+        record = attrs.evolve(
+            known, revision=known.revision + number, **changes
+        )
+        one.leaders.merge_leadership(record, "test")
+        return record
+
+    # Guards against commits at an old primary that are acknowledged and then
+    # lost: the record that names the successor began the grace period anew,
+    # after the instance had confirmed that it uses the old primary no more.
+    def test_release_holds_for_all_records_of_a_change(self):
+        async def scenario(world):
+            one = next(iter(world.fleets.values()))
+            known = one.leaders.latest(world.group.name)
+            change = {"changing": True, "orderly": True}
+            one.leaders.begin_work(known)
+            announced = self.merge_record(one, known, 1, **change)
+            self.assertTrue(one.leaders.may_commit(known))
+            self.assertFalse(one.leaders.has_released(known))
+            await asyncio.sleep(leaders.ORDERLY_GRACE_S + 0.2)
+            self.assertTrue(one.leaders.has_released(known))
+            successor = self.merge_record(
+                one, announced, 1, successor="ladder-1-2"
+            )
+            self.assertFalse(one.leaders.may_commit(known))
+            self.assertTrue(one.leaders.has_released(known))
+            self.assertEqual(
+                successor.revision, one.leaders.released[known.group]
+            )
+
+        self.run_fleet(scenario)
+
+    # Guards against a grace period that grows with each record of a change.
+    def test_further_record_does_not_extend_the_grace_period(self):
+        async def scenario(world):
+            one = next(iter(world.fleets.values()))
+            known = one.leaders.latest(world.group.name)
+            change = {"changing": True, "orderly": True}
+            one.leaders.begin_work(known)
+            announced = self.merge_record(one, known, 1, **change)
+            await asyncio.sleep(0.6 * leaders.ORDERLY_GRACE_S)
+            self.merge_record(one, announced, 1, successor="ladder-1-2")
+            self.assertTrue(one.leaders.may_commit(known))
+            await asyncio.sleep(0.6 * leaders.ORDERLY_GRACE_S)
+            self.assertFalse(one.leaders.may_commit(known))
+
+        self.run_fleet(scenario)
+
+    # Guards against a later change in which open transactions get no time to
+    # end because an earlier one has used it up.
+    def test_next_change_has_a_grace_period_of_its_own(self):
+        async def scenario(world):
+            one = next(iter(world.fleets.values()))
+            known = one.leaders.latest(world.group.name)
+            change = {"changing": True, "orderly": True}
+            announced = self.merge_record(one, known, 1, **change)
+            ended = self.merge_record(one, announced, 1, changing=False)
+            one.leaders.begin_work(known)
+            self.merge_record(one, ended, 1, **change)
+            self.assertTrue(one.leaders.may_commit(known))
+
+        self.run_fleet(scenario)
