Give prepared statements of different shapes different names

Blanks became underscores.

The shape is percent-encoded, so that the name is one word and tells the shape. Result: test_statements_of_different_content_have_different_names failed before and passes; names of shapes without special characters are as before.

--- a/balsamhinge/sessions/connections.py
+++ b/balsamhinge/sessions/connections.py
@@ -1,6 +1,7 @@
 """Shared connections on which one session runs statements."""
 
 import asyncio
+import urllib.parse
 
 import attrs
 
@@ -449,9 +450,11 @@
     """Return the name of a prepared statement on shared connections.
 
     The name depends on the statement's content only, so sessions that
-    prepare equal statements share one.
+    prepare equal statements share one. It is one word, and statements of
+    different content have different names.
     """
-    return f"{prepared.access.value[0]}_{prepared.shape}".replace(" ", "_")
+    shape = urllib.parse.quote(prepared.shape, "", errors="surrogateescape")
+    return f"{prepared.access.value[0]}_{shape}"
 
 
 def setup_statements(pooled, values, prepared):
