Deregister no instance that a new holder has not heard of yet

Cause: the holder of the promotion duty deletes the record of each instance that it has not heard from for 12 s, and counted that silence from its last message to this instance, or from the start of this process. An instance that had just registered was deleted before its first message.

Change: silence counts from when this instance holds the duty, without a gap, and has seen the other one in the list. It is asked once more before its record is deleted, so that a holder that stood still does not take its own pause for the silence of all others.

--- a/balsamhinge/controllers/failover.py
+++ b/balsamhinge/controllers/failover.py
@@ -14,6 +14,7 @@
 from balsamhinge.policy import failoverrules
 from balsamhinge.policy import leases
 from balsamhinge.policy import positions
+from balsamhinge.policy import registrations
 from balsamhinge.policy import revisions
 from balsamhinge.policy import routes
 from balsamhinge.policy import statements
@@ -41,9 +42,7 @@
 # is detected without traffic.
 PROBE_AFTER_S = 0.3
 RETRY_DELAY_S = 0.25
-# A registered instance that is silent for this long is deregistered;
-# longer than any lease.
-MEMBER_EXPIRY_S = 12.0
+EXPIRY_CHECK_INTERVAL_S = 1.0
 
 log = logbook.Logger(__name__)
 
@@ -67,6 +66,10 @@
         # Instances that a primary does not answer, by primary.
         self._unresponsive_counts = {}
         self._next_expiry_check = 0.0
+        # Loop seconds since when this instance, as the holder of the duty,
+        # has seen each registered instance in the list.
+        self._listed_since = {}
+        self._deregistering = set()
         # Boot-clock seconds of this instance's last promotion request.
         self._requested_at = float("-inf")
 
@@ -84,6 +87,7 @@
             )
             # An isolated instance may still believe that it holds the duty.
             if not self._fleet.duty.is_confirmed() or self._fleet.stopping:
+                self._listed_since = {}
                 continue
             if self._fleet.leaders.outdated_groups:
                 await self._fleet.restoration.restore()
@@ -643,30 +647,53 @@
             event(log.info, "step_down_failed", target=name, error=exc)
 
     def _expire_members(self):
-        """Deregister instances that are silent for `MEMBER_EXPIRY_S`."""
+        """Deregister instances that are silent for `MEMBER_EXPIRY_S`.
+
+        Instances contact the holder of the duty, so their silence counts
+        from when this instance has held it and has known of them.
+        """
         fleet = self._fleet
         now = clock.now()
         if now < self._next_expiry_check:
             return
-        self._next_expiry_check = now + 1.0
-        for member in fleet.other_members():
-            heard_at = fleet.gossip.last_contact_at.get(
-                member.name, fleet.started_at
+        self._next_expiry_check = now + EXPIRY_CHECK_INTERVAL_S
+        members = fleet.other_members()
+        self._listed_since = {
+            member.name: self._listed_since.get(member.name, now)
+            for member in members
+        }
+        for member in members:
+            heard_at = max(
+                self._listed_since[member.name],
+                fleet.gossip.last_contact_at.get(member.name, float("-inf")),
             )
-            if now - heard_at < MEMBER_EXPIRY_S:
+            if now - heard_at < registrations.MEMBER_EXPIRY_S:
                 continue
-            fleet.spawn(self._deregister(member.name))
+            if member.name not in self._deregistering:
+                self._deregistering.add(member.name)
+                fleet.spawn(self._deregister(member))
 
-    async def _deregister(self, name):
-        key = storedrecords.member_key(name)
-        record = self._fleet.leaders.listing.records.get(key)
-        if record is None:
-            return
+    async def _deregister(self, member):
+        """Delete the record of an instance, unless it answers after all."""
+        fleet = self._fleet
         try:
-            await self._fleet.dependencies.store.delete(
+            if await fleet.gossip.exchange(member) is not None:
+                return
+            key = storedrecords.member_key(member.name)
+            record = fleet.leaders.listing.records.get(key)
+            if record is None or not fleet.duty.is_confirmed():
+                return
+            await fleet.dependencies.store.delete(
                 interfaces.LEADERS, key, record.revision
             )
         except exceptions.BalsamhingeError as exc:
-            event(log.info, "deregister_failed", instance=name, error=exc)
+            event(
+                log.info,
+                "deregister_failed",
+                instance=member.name,
+                error=exc,
+            )
             return
-        event(log.notice, "instance_deregistered", instance=name)
+        finally:
+            self._deregistering.discard(member.name)
+        event(log.notice, "instance_deregistered", instance=member.name)
--- a/balsamhinge/policy/registrations.py
+++ b/balsamhinge/policy/registrations.py
@@ -6,10 +6,13 @@
 from balsamhinge.policy import hashing
 from balsamhinge.policy import leases
 
-__all__ = ["Registrations"]
+__all__ = ["MEMBER_EXPIRY_S", "Registrations"]
 
 # Incarnation of the store before the first read.
 NEVER_LISTED = -1
+# A registered instance that is silent for this long is deregistered;
+# longer than any lease.
+MEMBER_EXPIRY_S = 12.0
 
 
 @attrs.frozen
