Let leases end with the registration, and wait for those of before

Cause: a change of a primary waits for the registered instances. An instance whose record had been deleted got leases by gossip as before: a message told how recent the sender's read of the store was, not whether that read had found the receiver. Nobody waited for it, it did not notice, and so it never registered again. Leases of before the deletion were not waited for either, and instances that do not read the store kept counting a deregistered one.

Change: - A message tells how old the latest read is that found the receiver's registration; a reply extends leases from that read only. An instance without a registration therefore reads the store itself within 1.3 s and registers again. - A change waits for deregistered instances too, for the longest time that a lease can last. An instance that has followed the list for a shorter time cannot know them and waits until all leases have expired. - Ended registrations are passed on by gossip while lists differ, and an instance whose list stays outdated for 6 s reads the store.

Ruled out: that the reader's lease was extended beyond its end (the reads are within 2 s of its last message), and that the holder misjudged a release (it never asked the instance).

Four tests of DeregisteredInstanceTest fail on the code before.

--- a/balsamhinge/controllers/failover.py
+++ b/balsamhinge/controllers/failover.py
@@ -434,25 +434,29 @@
         """
         fleet = self._fleet
         await fleet.leaders.read()
+        registered = fleet.leaders.registrations
         while True:
+            now = fleet.dependencies.boot_time()
             waiting = [
                 member
-                for member in fleet.other_members()
+                for member in registered.awaited_members(now)
                 if not self._has_released(member.name, leadership)
             ]
             own = (
                 fleet.leaders.released.get(leadership.group, 0)
                 >= leadership.revision
             )
-            if not waiting and own:
+            all_known = registered.are_all_awaited_known(now)
+            if not waiting and own and all_known:
                 return True
-            elapsed_s = fleet.dependencies.boot_time() - announced_at
+            elapsed_s = now - announced_at
             if elapsed_s > leases.LEASE_S and own:
                 event(
                     log.warning,
                     "departure_unconfirmed",
                     group=leadership.group,
                     instances=",".join(m.name for m in waiting),
+                    all_known=all_known,
                     waited_s=elapsed_s,
                 )
                 return False
--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -330,12 +330,18 @@
             or leadership.group in leaders.outdated_groups
         ]
         knowledge = leaders.book.last_read
+        registered = leaders.registrations
+        lists_differ = (
+            last_message is not None
+            and last_message.members_key != registered.key
+        )
         return gossipmessages.GossipMessage(
             sender=fleet.me.name,
             as_of=knowledge.as_of,
             age_s=min(1e9, now - knowledge.read_at),
             leaderships=newer_leaderships,
-            members=leaders.registrations.since(peer_as_of),
+            members=registered.since(peer_as_of),
+            removals=registered.removals() if lists_differ else [],
             left=dict(leaders.released),
             samples=fleet.sampling.latest_samples(now),
             heard_s=fleet.primary_response_ages_s(),
@@ -354,17 +360,20 @@
             stamp=gossipmessages.MessageTimestamp(self._process, now),
             echo=self._stamps.get(receiver),
             all_promise_s=self._promise_of_all_s(receiver, now),
-            members_key=leaders.registrations.key,
+            members_key=registered.key,
             leaving=fleet.stopping,
             holder=fleet.duty.holder,
             holder_revision=fleet.duty.revision,
-            receiver_listed_in=leaders.registrations.listed_in(receiver),
+            receiver_listed_in=registered.listed_in(receiver),
             store_incarnation=fleet.store_health.incarnation,
             restored_s=fleet.store_health.restored_s(now),
             holder_silent_s=0.0
             if fleet.duty.held
             else self._contact_age_s(fleet.duty.holder),
-            members_age_s=min(1e9, now - leaders.registrations.read_at),
+            members_age_s=min(1e9, now - registered.read_at),
+            receiver_found_age_s=min(
+                1e9, registered.found_age_s(receiver, now)
+            ),
             configuration_proof=fleet.customers.describe_proof(now),
         )
 
@@ -463,8 +472,12 @@
         self._merge_echoed_promise(message)
         for leadership in message.leaderships:
             self._fleet.leaders.merge_leadership(leadership, message.sender)
-        if message.members:
-            self._fleet.leaders.registrations.merge(message.members)
+        if message.members or message.removals:
+            self._fleet.leaders.registrations.merge(
+                message.members,
+                message.removals,
+                self._fleet.dependencies.boot_time(),
+            )
         self._fleet.duty.merge_holder(
             message.holder, message.holder_revision, message.sender
         )
@@ -509,7 +522,8 @@
             reply.configuration_proof, asked_at, reply.sender
         )
         self._merge_own_registration(reply)
-        read_at = asked_at - reply.age_s
+        # Changes wait for this instance only if its registration was found.
+        read_at = asked_at - max(reply.age_s, reply.receiver_found_age_s)
         fleet.leaders.merge_store_read(
             leases.StoreRead(reply.as_of, read_at), reply.sender
         )
--- a/balsamhinge/controllers/leaders.py
+++ b/balsamhinge/controllers/leaders.py
@@ -365,7 +365,9 @@
         ----------
         knowledge : StoreRead
             Revision and time of the read; all records up to the revision
-            have been merged.
+            have been merged. A read of another instance counts only if it
+            has found the registration of this one: changes of primaries do
+            not wait for an instance whose registration has ended.
         source : str
             "store", or the instance that told of the read.
         """
@@ -486,8 +488,9 @@
         if listing.as_of >= self.book.last_read.as_of:
             self.registrations.merge_listing(
                 decoded.members | self._known_members(decoded),
-                revisions.incarnation_of(listing.as_of),
+                listing.as_of,
                 asked_at,
+                self.boot_time(),
             )
         self.duty_record = decoded.duty
         self.challenge_record = decoded.challenge
--- a/balsamhinge/fleet.py
+++ b/balsamhinge/fleet.py
@@ -40,6 +40,9 @@
 # Interval of the check whether the record of a registered instance is still
 # there.
 REGISTERED_CHECK_INTERVAL_S = 1.0
+# Age of the list of registered instances from which an instance reads the
+# store, although others do: gossip has not told it of all changes.
+MAX_REGISTRATIONS_AGE_S = 6.0
 # Delay before the restart of a loop that an unexpected error ended.
 LOOP_RESTART_DELAY_S = 0.5
 # An instance is isolated if its last store read is older than this and no
@@ -307,7 +310,8 @@
             "data_centre": self.me.data_centre,
         }
         while True:
-            if not self.registered and not self.stopping:
+            due = not self.registered or self._is_member_list_outdated()
+            if due and not self.stopping:
                 try:
                     await self._write_member_record(value)
                 except exceptions.StoreUnavailable as exc:
@@ -327,7 +331,17 @@
                 interval_s * self.rng.uniform(0.8, 1.2)
             )
 
+    def _is_member_list_outdated(self):
+        """Return whether others know of later registrations."""
+        now = self.dependencies.boot_time()
+        list_age_s = now - self.leaders.registrations.read_at
+        return (
+            list_age_s > MAX_REGISTRATIONS_AGE_S
+            and self.leaders.book.read_age_s(now) < leases.LEASE_S
+        )
+
     async def _write_member_record(self, value):
+        """Read the records, and write this instance's own if it is missing."""
         await self.leaders.read()
         if self.registered:
             return
--- a/balsamhinge/policy/gossipmessages.py
+++ b/balsamhinge/policy/gossipmessages.py
@@ -12,6 +12,7 @@
 __all__ = [
     "GossipMessage",
     "MemberRecord",
+    "MemberRemoval",
     "MessageTimestamp",
     "PositionSample",
     "Survey",
@@ -62,6 +63,22 @@
     revision: int
 
 
+@attrs.frozen
+class MemberRemoval:
+    """A registration that has ended.
+
+    Parameters
+    ----------
+    name : str
+        Name of the instance.
+    revision : int
+        Revision of its deleted record.
+    """
+
+    name: str
+    revision: int
+
+
 @attrs.frozen
 class Survey:
     """What randomly drawn instances answered about the duty's holder.
@@ -108,6 +125,8 @@
         Leaderships that the receiver may lack.
     members : list of MemberRecord
         Registered instances that the receiver may lack.
+    removals : list of MemberRemoval
+        Ended registrations that the receiver may still count.
     left : dict of str to int
         By group, the revision of the announced primary change for which
         the sender has released the old primary.
@@ -157,6 +176,9 @@
     members_age_s : float
         Age in seconds of the complete read of the store that found the
         instances of `members_key`.
+    receiver_found_age_s : float
+        Age in seconds of the latest read of the store that the sender knows
+        to have found the receiver's registration.
     configuration_proof : ConfigurationProof or None
         How long ago the sender's configuration is known to have been
         current; None if the sender has no valid lease or needs none.
@@ -167,6 +189,7 @@
     age_s: float = 1e9
     leaderships: list[leases.Leadership] = attrs.Factory(list)
     members: list[MemberRecord] = attrs.Factory(list)
+    removals: list[MemberRemoval] = attrs.Factory(list)
     left: dict[str, int] = attrs.Factory(dict)
     samples: dict[str, PositionSample] = attrs.Factory(dict)
     heard_s: dict[str, float] = attrs.Factory(dict)
@@ -189,4 +212,5 @@
     restored_s: float = 0.0
     holder_silent_s: float = 1e9
     members_age_s: float = 1e9
+    receiver_found_age_s: float = 1e9
     configuration_proof: configurationlease.ConfigurationProof | None = None
--- a/tests/controllers/test_deregistration.py
+++ b/tests/controllers/test_deregistration.py
@@ -4,15 +4,19 @@
 
 from balsamhinge.controllers import storedrecords
 from balsamhinge import interfaces
+from balsamhinge.policy import leases
 from balsamhinge.policy import ownership
 from balsamhinge.policy import registrations
 from tests.support import virtual
 
-__all__ = ["NewHolderTest"]
+__all__ = ["DeregisteredInstanceTest", "NewHolderTest"]
 
+GROUP = "ladder-1"
 POLL_S = 0.005
 # Instances of a large fleet in each data centre.
 LARGE_FLEET_INSTANCES = 20
+# Time in which an instance that is back registers again.
+REGISTER_AGAIN_S = 2.0
 
 
 def is_registered(world, name):
@@ -21,6 +25,121 @@
     return storedrecords.member_key(name) in held
 
 
+def cut_off(world, names):
+    """Cut instances off from the store and from all other instances."""
+    names = set(names)
+    world.records.knobs.cut |= names
+    others = set(world.fleets) - names
+    world.cuts |= {frozenset((a, b)) for a in names for b in others}
+
+
+def deregister(world, name):
+    """Delete the record of an instance."""
+    world.records.drop(interfaces.LEADERS, storedrecords.member_key(name))
+
+
+class _LeaseObserver:
+    """Collects the instances that use a primary after its replacement."""
+
+    def __init__(self, world):
+        self._world = world
+        self.outdated = set()
+
+    async def run(self, seconds):
+        """Look at all instances for some seconds."""
+        until = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < until:
+            for name, one in self._world.fleets.items():
+                leadership = one.leaders.valid_leadership(GROUP)
+                primary = self._world.group.primary.name
+                if leadership is not None and leadership.target != primary:
+                    self.outdated.add(name)
+            await asyncio.sleep(POLL_S)
+
+
+class DeregisteredInstanceTest(virtual.FleetTestCase):
+    """A change of a primary waits for each instance that may hold a lease."""
+
+    async def replace_primary(self, world):
+        """Replace the primary as planned; return who used it afterwards."""
+        old = world.group.primary
+        world.leave(old)
+        observer = _LeaseObserver(world)
+        await observer.run(leases.LEASE_S + 3.0)
+        self.assertIsNot(old, world.group.primary)
+        return observer.outdated
+
+    # Guards against stale reads by an instance that was deregistered while it
+    # was cut off, and is cut off again while a primary is replaced.
+    def test_an_instance_that_is_back_is_waited_for(self):
+        async def scenario(world):
+            holder = world.holder().me.name
+            name = next(one for one in world.fleets if one != holder)
+            cut_off(world, [name])
+            await asyncio.sleep(registrations.MEMBER_EXPIRY_S + 2.0)
+            self.assertFalse(is_registered(world, name))
+            world.heal()
+            await asyncio.sleep(REGISTER_AGAIN_S)
+            self.assertTrue(is_registered(world, name))
+            await world.wait_leaders()
+            await asyncio.sleep(leases.EXTENDED_LEASE_S)
+            cut_off(world, [name])
+            self.assertEqual(set(), await self.replace_primary(world))
+
+        self.run_fleet(scenario)
+
+    # Guards against commits at a replaced primary by an instance whose record
+    # was deleted while it held leases.
+    def test_a_change_waits_for_leases_of_before_the_deletion(self):
+        async def scenario(world):
+            holder = world.holder().me.name
+            name = next(one for one in world.fleets if one != holder)
+            deregister(world, name)
+            cut_off(world, [name])
+            # The holder reads the list without the instance.
+            await asyncio.sleep(0.8)
+            self.assertEqual(set(), await self.replace_primary(world))
+
+        self.run_fleet(scenario)
+
+    # Guards against leases that rest on what others have read since the
+    # registration of the reading instance has ended.
+    def test_an_unlisted_instance_gets_no_leases_by_gossip(self):
+        async def scenario(world):
+            holder = world.holder().me.name
+            name = next(one for one in world.fleets if one != holder)
+            world.records.knobs.cut.add(name)
+            deregister(world, name)
+            await asyncio.sleep(leases.LEASE_S + 1.0)
+            leaders = world.fleets[name].leaders
+            self.assertIsNone(leaders.valid_leadership(GROUP))
+            world.heal()
+            await asyncio.sleep(REGISTER_AGAIN_S)
+            self.assertIsNotNone(leaders.valid_leadership(GROUP))
+
+        self.run_fleet(scenario)
+
+    # Guards against instances that count a deregistered one for good, so that
+    # none of them can pass leases on.
+    def test_all_instances_learn_of_a_deregistration(self):
+        async def scenario(world):
+            holder = world.holder().me.name
+            name = next(one for one in world.fleets if one != holder)
+            await world.kill(name)
+            await asyncio.sleep(registrations.MEMBER_EXPIRY_S + 2.0)
+            self.assertFalse(is_registered(world, name))
+            calls = world.records.calls
+            await asyncio.sleep(4.0)
+            for one in world.fleets.values():
+                self.assertNotIn(name, one.leaders.members)
+                now = one.dependencies.boot_time()
+                self.assertLess(now - one.leaders.registrations.read_at, 3.0)
+            # The holder alone reads the store.
+            self.assertLess(world.records.calls - calls, 30)
+
+        self.run_fleet(scenario)
+
+
 class NewHolderTest(virtual.FleetTestCase):
     """The first instances to contact a new holder of the duty are few."""
 
--- a/tests/test_encodings.py
+++ b/tests/test_encodings.py
@@ -57,6 +57,8 @@
         "holder_silent_s": 1e9,
         "members_age_s": 1e9,
         "configuration_proof": None,
+        "receiver_found_age_s": 1e9,
+        "removals": [],
         "receiver_listed_in": -1,
         "restored_s": 0.0,
         "store_incarnation": 0,
