Let only a registered holder of the duty change primaries

Cause: others extend their leases without the promise of an instance whose record was deleted, so that instance may start no change. It asked for that only when it registered again: a holder whose record had been deleted announced a change and had another primary promoted before it was registered again.

Change: a change starts only while the holder is registered, and ends if the read that follows its announcement does not show the holder's record. After it has registered again it waits as any new instance does.

Evidence: test_a_deregistered_holder_completes_no_change fails on the code before (a promotion was requested while the record was missing) and passes now.

--- a/balsamhinge/controllers/failover.py
+++ b/balsamhinge/controllers/failover.py
@@ -361,7 +361,7 @@
         """
         fleet = self._fleet
         started_at = clock.now()
-        if not fleet.may_change_primaries:
+        if not fleet.registered or not fleet.may_change_primaries:
             await clock.pause(RETRY_DELAY_S)
             return
         if not leadership.changing:
@@ -431,9 +431,17 @@
         bool
             True if all instances have confirmed the release; False if the
             leases of the others have expired.
+
+        Raises
+        ------
+        NotRunError
+            If this instance was deregistered: others may hold leases that
+            were extended without its promise.
         """
         fleet = self._fleet
         await fleet.leaders.read()
+        if not fleet.registered:
+            raise exceptions.NotRunError("this instance was deregistered")
         registered = fleet.leaders.registrations
         while True:
             now = fleet.dependencies.boot_time()
--- a/tests/controllers/test_deregistration.py
+++ b/tests/controllers/test_deregistration.py
@@ -119,6 +119,27 @@
 
         self.run_fleet(scenario)
 
+    # Guards against commits at a replaced primary: the holder of the duty
+    # promoted another one just after its own registration had ended, and
+    # leases of others were extended without its promise.
+    def test_a_deregistered_holder_completes_no_change(self):
+        async def scenario(world):
+            holder = world.holder()
+            deregister(world, holder.me.name)
+            world.leave(world.group.primary)
+            while not holder.registered or not is_registered(
+                world, holder.me.name
+            ):
+                self.assertEqual([], world.promotions)
+                await asyncio.sleep(POLL_S)
+            registered_at = asyncio.get_running_loop().time()
+            while not world.promotions:
+                await asyncio.sleep(POLL_S)
+            waited_s = asyncio.get_running_loop().time() - registered_at
+            self.assertGreater(waited_s, leases.EXTENDED_LEASE_S - 1.0)
+
+        self.run_fleet(scenario)
+
     # Guards against instances that count a deregistered one for good, so that
     # none of them can pass leases on.
     def test_all_instances_learn_of_a_deregistration(self):
