Bind a loan to the process that has borrowed it

Nothing refused the number of another borrower's loan.

Change: a process that borrows has a random identifier, which stands in its requests; a host refuses statements and ends of loans of another one, with a log line.

Evidence: test_a_loan_is_its_borrowers_alone fails without the comparison of the borrowers and passes with it.

--- a/balsamhinge/interfaces.py
+++ b/balsamhinge/interfaces.py
@@ -495,8 +495,8 @@
         """
 
     @abc.abstractmethod
-    async def give_back(self, member, loan, usable, timeout_s):
-        """End a loan; its connection is closed unless it is `usable`.
+    async def give_back(self, member, ended, timeout_s):
+        """Tell a host of a `LoanEnd`.
 
         Raises
         ------
--- a/balsamhinge/peers/fleet.py
+++ b/balsamhinge/peers/fleet.py
@@ -99,10 +99,12 @@
         )
         return decode_reply(member, body, loans.RunReply)
 
-    async def give_back(self, member, loan, usable, timeout_s):
+    async def give_back(self, member, ended, timeout_s):
         """See `FleetPeerClient.give_back`."""
-        ended = peers_pb2.Loan(number=loan, usable=usable)
-        await self._call(member, "GiveBack", ended, timeout_s, LOANS)
+        message = peers_pb2.Loan(
+            number=ended.loan, usable=ended.usable, borrower=ended.borrower
+        )
+        await self._call(member, "GiveBack", message, timeout_s, LOANS)
 
     async def request_allowance(self, member, request, timeout_s):
         """Raise PeerUnavailable: gRPC has no such call.
@@ -251,7 +253,9 @@
     async def GiveBack(self, request, context):  # noqa: N802
         """End the loan of a connection."""
         await self._require_secret(context)
-        self._connection_loans.end_loan(request.number, request.usable)
+        self._connection_loans.handle_end(
+            loans.LoanEnd(request.number, request.usable, request.borrower)
+        )
         return peers_pb2.Envelope()
 
 
@@ -267,15 +271,14 @@
     serve_allowance : callable
         Handles an `AllowanceRequest` and returns the `AllowanceReply`.
     """
-
-    def end_loan(ended):
-        connection_loans.end_loan(ended.loan, ended.usable)
-
     served = {
         streams.Method.EXCHANGE: (gossipmessages.GossipMessage, receive),
         streams.Method.BORROW: (loans.BorrowRequest, connection_loans.lend),
         streams.Method.RUN: (loans.RunRequest, connection_loans.run),
-        streams.Method.GIVE_BACK: (loans.LoanEnd, end_loan),
+        streams.Method.GIVE_BACK: (
+            loans.LoanEnd,
+            connection_loans.handle_end,
+        ),
         streams.Method.ALLOWANCE: (
             limitmessages.AllowanceRequest,
             serve_allowance,
--- a/balsamhinge/peers/streamclient.py
+++ b/balsamhinge/peers/streamclient.py
@@ -142,16 +142,15 @@
             self._check_release(member)
             return await self._grpc_client.run(member, request, timeout_s)
 
-    async def give_back(self, member, loan, usable, timeout_s):
+    async def give_back(self, member, ended, timeout_s):
         """See `FleetPeerClient.give_back`."""
-        ended = loans.LoanEnd(loan, usable)
         try:
             await self._call(
                 member, Purpose.LOANS, Method.GIVE_BACK, ended, timeout_s
             )
         except ConnectionRefusedError:
             self._check_release(member)
-            await self._grpc_client.give_back(member, loan, usable, timeout_s)
+            await self._grpc_client.give_back(member, ended, timeout_s)
 
     async def request_allowance(self, member, request, timeout_s):
         """See `FleetPeerClient.request_allowance`."""
--- a/balsamhinge/policy/loans.py
+++ b/balsamhinge/policy/loans.py
@@ -131,6 +131,8 @@
     deadline_s : float
         Seconds until the answer of the statement is due; 0 if unknown. It
         orders the requests of the admission queue.
+    borrower : int
+        Random identifier of the process that borrows.
     """
 
     target: str
@@ -139,6 +141,7 @@
     patient: bool
     workload: workloads.Workload = workloads.Workload()
     deadline_s: float = 0.0
+    borrower: int = 0
 
 
 @attrs.frozen
@@ -194,6 +197,8 @@
         Prepared statement that is executed.
     patience_s : float
         Seconds after which the caller has given up.
+    borrower : int
+        Identifier of the process that has borrowed `loan`.
     """
 
     loan: int
@@ -205,6 +210,7 @@
     values: dict[str, str]
     prepared: statements.Prepare | None
     patience_s: float
+    borrower: int = 0
 
 
 @attrs.frozen
@@ -256,10 +262,13 @@
         Number of the loan.
     usable : bool
         Whether the connection may be used again.
+    borrower : int
+        Identifier of the process that has borrowed it.
     """
 
     loan: int
     usable: bool
+    borrower: int = 0
 
 
 def encode_statement(statement):
--- a/balsamhinge/sessions/connectionloans.py
+++ b/balsamhinge/sessions/connectionloans.py
@@ -51,6 +51,8 @@
 MAX_REPORT_AGE_S = 1.0
 # Size of the first loan number of a process, which is drawn at random.
 LOAN_NUMBER_BITS = 60
+# Size of the random identifier of a process that borrows connections.
+BORROWER_BITS = 63
 NO_WORKLOAD = workloads.Workload()
 
 log = logbook.Logger(__name__)
@@ -64,6 +66,8 @@
     ----------
     conn : LocalConnection
         The connection.
+    borrower : int
+        Identifier of the process that has borrowed it.
     used_at : float
         Time of the latest use, in loop seconds.
     running : bool
@@ -71,6 +75,7 @@
     """
 
     conn: object
+    borrower: int
     used_at: float = attrs.Factory(clock.now)
     running: bool = False
 
@@ -97,6 +102,7 @@
             1 + secrets.randbits(LOAN_NUMBER_BITS)
         )
         self._loans = {}
+        self._borrower = secrets.randbits(BORROWER_BITS)
         # Number of requests of borrowers that are being handled.
         self._open_requests = 0
         # Whether statements may still run on loans.
@@ -170,6 +176,7 @@
             patient=patient,
             workload=workload,
             deadline_s=max(0.0, deadline - clock.now()),
+            borrower=self._borrower,
         )
         if leadership is not None:
             if not self._fleet.leaders.is_valid(leadership):
@@ -405,11 +412,12 @@
 
     def return_loan(self, host, loan, usable):
         """Tell a host in the background that a loan is no longer used."""
+        ended = loans.LoanEnd(loan, usable, self._borrower)
 
         async def give_back():
             try:
                 await self._fleet.dependencies.peers.give_back(
-                    host, loan, usable, RETURN_TIMEOUT_S
+                    host, ended, RETURN_TIMEOUT_S
                 )
             except exceptions.PeerUnavailable as exc:
                 # The host reclaims the loan when it has been idle.
@@ -540,7 +548,7 @@
                 waits_s=waits_s,
             )
         loan_number = next(self._loan_numbers)
-        self._loans[loan_number] = Loan(conn)
+        self._loans[loan_number] = Loan(conn, request.borrower)
         return loans.BorrowReply(loan_number, waits_s=waits_s)
 
     def _is_target_lost(self, target_name, exc):
@@ -605,6 +613,8 @@
                     waits_s=reply.waits_s,
                 )
         loan = self._loans.get(loan_number)
+        if request.loan:
+            loan = self._loan_of(request)
         has_ended = bool(request.loan) and not self._accepts_orders
         if loan is None or loan.running or has_ended:
             return loans.RunReply(detail="the loan has ended")
@@ -699,6 +709,29 @@
         if not allowed:
             raise connections.LeaseLost("the host may not use the primary")
 
+    def _loan_of(self, message):
+        """Return the loan that a message names, or None.
+
+        Parameters
+        ----------
+        message : RunRequest or LoanEnd
+            Message of a borrower.
+        """
+        loan = self._loans.get(message.loan)
+        if loan is None or loan.borrower == message.borrower:
+            return loan
+        event(
+            log.warning,
+            "loan_of_another_borrower",
+            target=loan.conn.target.name,
+        )
+        return None
+
+    def handle_end(self, ended):
+        """Handle the `LoanEnd` of a borrower."""
+        if self._loan_of(ended) is not None:
+            self.end_loan(ended.loan, ended.usable)
+
     def end_loan(self, loan_number, usable):
         """End a loan; its connection is reused if usable and idle."""
         loan = self._loans.pop(loan_number, None)
--- a/balsamhinge/sessions/connections.py
+++ b/balsamhinge/sessions/connections.py
@@ -358,6 +358,7 @@
             values=self._values,
             prepared=self._prepared,
             patience_s=patience_s,
+            borrower=self.borrow.borrower if self.loan else 0,
         )
         asked_at = self.fleet.dependencies.boot_time()
         leased = has_lease(self.fleet, self.leadership)
--- a/tests/peers/test_streams.py
+++ b/tests/peers/test_streams.py
@@ -56,9 +56,9 @@
         """See `CustomerLimitsController.serve`."""
         return limitmessages.AllowanceReply(dict(request.needed))
 
-    def end_loan(self, number, usable):
-        """See `ConnectionLoanController.end_loan`."""
-        self.ended.append((number, usable))
+    def handle_end(self, ended):
+        """See `ConnectionLoanController.handle_end`."""
+        self.ended.append((ended.loan, ended.usable))
 
 
 class Peer:
@@ -136,7 +136,8 @@
             request = loans.BorrowRequest("a", 0, 1.0, True)
             lent = await client.borrow(member, request, real.LIMIT_S)
             self.assertEqual(7, lent.loan)
-            await client.give_back(member, 7, False, real.LIMIT_S)
+            ended = loans.LoanEnd(7, False, 1)
+            await client.give_back(member, ended, real.LIMIT_S)
             self.assertEqual([(7, False)], peer.lender.ended)
             peer.lender.release.set()
             ran = await client.run(member, run_request(7), real.LIMIT_S)
--- a/tests/sessions/test_connectionloans.py
+++ b/tests/sessions/test_connectionloans.py
@@ -3,6 +3,8 @@
 import asyncio
 import functools
 
+import attrs
+
 from balsamhinge.controllers import clock
 from balsamhinge.policy import loans
 from balsamhinge.policy import statements
@@ -385,6 +387,27 @@
 
         self.run_fleet(scenario, **SHARED_CONNECTIONS)
 
+    # Guards against statements inside another caller's transaction that an
+    # instance names by a loan which is not its own.
+    def test_a_loan_is_its_borrowers_alone(self):
+        async def scenario(world):
+            host = world.fleets[hosts_of_primary(world)[0].name]
+            controller = host.connection_loans
+            borrow = attrs.evolve(borrow_request(world, host), borrower=1)
+            begun = await controller.run(
+                run_request(statements.Begin(), borrow=borrow)
+            )
+            self.assertNotEqual(0, begun.loan)
+            commit = run_request(statements.Commit(), begun.loan)
+            reply = await controller.run(attrs.evolve(commit, borrower=2))
+            self.assertIsNone(reply.answer)
+            self.assertFalse(reply.may_have_run)
+            controller.handle_end(loans.LoanEnd(begun.loan, True, 2))
+            reply = await controller.run(attrs.evolve(commit, borrower=1))
+            self.assertIsNone(reply.answer.problem)
+
+        self.run_fleet(scenario, **SHARED_CONNECTIONS)
+
     # Guards against a caller that waits for its deadline, or hears of a
     # commit that is not kept, as its instance's host and the instance stop.
     def test_callers_are_answered_while_host_and_borrower_stop(self):
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -117,10 +117,10 @@
         running = receiver.connection_loans.run(request)
         return await self._answer(member, running, timeout_s)
 
-    async def give_back(self, member, loan, usable, timeout_s):
+    async def give_back(self, member, ended, timeout_s):
         """See `FleetPeerClient.give_back`."""
         receiver = await self._reach(member, timeout_s)
-        receiver.connection_loans.end_loan(loan, usable)
+        receiver.connection_loans.handle_end(ended)
 
     async def request_allowance(self, member, request, timeout_s):
         """See `FleetPeerClient.request_allowance`."""
--- a/tests/test_encodings.py
+++ b/tests/test_encodings.py
@@ -49,9 +49,18 @@
 # values that stand for a sender which does not know them. A path leads through
 # fields and through each entry of a list, for which "*" stands.
 ADDED_FIELDS = {
-    "borrow_request": {"workload": NO_WORKLOAD, "deadline_s": 0.0},
+    "borrow_request": {
+        "workload": NO_WORKLOAD,
+        "deadline_s": 0.0,
+        "borrower": 0,
+    },
     "borrow_reply": {"unreachable": False, "waits_s": []},
-    "run_request": {"borrow.workload": NO_WORKLOAD, "borrow.deadline_s": 0.0},
+    "run_request": {
+        "borrow.workload": NO_WORKLOAD,
+        "borrow.deadline_s": 0.0,
+        "borrow.borrower": 0,
+        "borrower": 0,
+    },
     "run_reply": {"unreachable": False, "waits_s": [], "waited_s": 0.0},
     "note": {
         "holder_silent_s": 1e9,
