Count the grace time of a stop from before a stall

Change: the loop notes each 0.1 s that it runs. A signal that is handled at the end of a gap may have come at its begin, and the schedule counts from there; the line "stopping" tells by how much.

Evidence: test_a_late_stop_leaves_its_callers_the_rest_of_the_grace_time fails without the change and passes with it.

--- a/balsamhinge/platform/daemon.py
+++ b/balsamhinge/platform/daemon.py
@@ -59,6 +59,9 @@
     def __init__(self, settings):
         self._settings = settings
         self._stop = asyncio.Event()
+        self._stalls = shutdown.StallDetector(clock.now())
+        # Loop seconds.
+        self._stop_requested_at = 0.0
         peer_security = security.PeerSecurity("")
         self._store = objects.PlatformObjects(settings.store)
         self._peers = streamclient.StreamFleetPeerClient(
@@ -105,6 +108,9 @@
     def _render_status(self):
         return msgspec.json.encode(fleetstatus.describe(self.fleet))
 
+    async def _detect_stalls(self):
+        self._stalls.record(clock.now())
+
     async def _report_store_calls(self):
         counts = self._store.pop_call_counts()
         if counts:
@@ -115,7 +121,11 @@
 
     def request_stop(self):
         """Request a graceful stop; further requests have no effect."""
-        self._stop.set()
+        if not self._stop.is_set():
+            self._stop_requested_at = self._stalls.earliest_signal_at(
+                clock.now()
+            )
+            self._stop.set()
 
     async def run(self):
         """Serve until a stop is requested, then stop gracefully."""
@@ -128,16 +138,12 @@
         host = address.rpartition(":")[0]
         await self._stream_server.start(f"{host}:{self._settings.stream_port}")
         self.fleet.start()
-        self.fleet.spawn(
-            clock.run_forever(
-                self._report_dropped_lines, DROPPED_REPORT_INTERVAL_S
-            )
-        )
-        self.fleet.spawn(
-            clock.run_forever(
-                self._report_store_calls, STORE_CALLS_REPORT_INTERVAL_S
-            )
-        )
+        for step, interval_s in (
+            (self._detect_stalls, shutdown.STALL_CHECK_INTERVAL_S),
+            (self._report_dropped_lines, DROPPED_REPORT_INTERVAL_S),
+            (self._report_store_calls, STORE_CALLS_REPORT_INTERVAL_S),
+        ):
+            self.fleet.spawn(clock.run_forever(step, interval_s))
         await self._callers.start(self._settings.callers)
         await self._readiness.start(self._settings.readiness)
         await self._stop.wait()
@@ -148,11 +154,16 @@
 
     async def _drain(self):
         """Stop gracefully, without cutting off requests in flight."""
-        logs.event(log.notice, "stopping", instance=self.fleet.me.name)
         started_at = time.monotonic()
         now = clock.now()
+        logs.event(
+            log.notice,
+            "stopping",
+            instance=self.fleet.me.name,
+            late_s=now - self._stop_requested_at,
+        )
         schedule = shutdown.ShutdownSchedule.from_grace(
-            now, self._settings.grace_s
+            self._stop_requested_at, self._settings.grace_s
         )
         self.fleet.begin_shutdown(schedule)
         draining = [
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 
 import logbook
 import testtools
@@ -208,6 +209,23 @@
 
         self.run_platform(scenario)
 
+    # Guards against a stop that is dated from when the signal was handled
+    # although the process had stood still.
+    def test_a_late_stop_leaves_its_callers_the_rest_of_the_grace_time(self):
+        async def scenario(platform):
+            stalled_s = 0.6 * platform.settings.grace_s
+            stalled_at = clock.now()
+            time.sleep(stalled_s)
+            platform.daemon.request_stop()
+            while (schedule := platform.daemon.fleet.shutdown) is None:
+                await asyncio.sleep(0.001)
+            self.assertLessEqual(
+                schedule.close_by, stalled_at + platform.settings.grace_s
+            )
+            self.assertTrue(schedule.refuses_operations(clock.now()))
+
+        self.run_platform(scenario)
+
     def test_pipelined_requests_are_answered_in_order(self):
         async def scenario(platform):
             client = await platform.session("fixtures")
--- a/tests/policy/test_shutdown.py
+++ b/tests/policy/test_shutdown.py
@@ -38,3 +38,36 @@
         ):
             self.assertEqual(refuses, schedule.refuses_operations(now))
             self.assertEqual(aborts, schedule.aborts_transactions(now))
+
+
+class StallDetectorTest(testtools.TestCase):
+    """A process that got no processor time handles its signal late."""
+
+    def running_until(self, stopped_at):
+        """Return the detector of a process that ran until a time."""
+        detector = shutdown.StallDetector(0.0)
+        for step in range(1, round(stopped_at * 10) + 1):
+            detector.record(step / 10)
+        return detector
+
+    # Guards against a process that is killed before its last answers, as
+    # its grace time began while it stood still.
+    def test_a_signal_may_have_come_during_a_stall(self):
+        detector = self.running_until(5.0)
+        self.assertEqual(5.0, detector.earliest_signal_at(10.05))
+
+    # The loop runs its timers before the handler of a signal.
+    def test_a_check_between_stall_and_handler_hides_no_stall(self):
+        detector = self.running_until(5.0)
+        detector.record(10.05)
+        self.assertEqual(5.0, detector.earliest_signal_at(10.06))
+
+    def test_a_signal_long_after_a_stall_is_not_late(self):
+        detector = self.running_until(5.0)
+        for now in (10.05, 10.15, 10.25):
+            detector.record(now)
+        self.assertEqual(10.3, detector.earliest_signal_at(10.3))
+
+    def test_a_running_process_handles_signals_at_once(self):
+        detector = self.running_until(5.0)
+        self.assertEqual(5.05, detector.earliest_signal_at(5.05))
