Guard a change under a new holder of the duty

A new holder has heard few of the others, the store is away for 3.2 s, and then the primary is to be replaced.

--- a/tests/controllers/test_deregistration.py
+++ b/tests/controllers/test_deregistration.py
@@ -1,6 +1,7 @@
 """Tests of instances whose registration ends while they are alive."""
 
 import asyncio
+import itertools
 
 from balsamhinge.controllers import storedrecords
 from balsamhinge import interfaces
@@ -15,6 +16,10 @@
 POLL_S = 0.005
 # Instances of a large fleet in each data centre.
 LARGE_FLEET_INSTANCES = 20
+# One in this many instances of a large fleet has a writing caller.
+WRITING_SHARE = 6
+# Duration of an outage of the store.
+OUTAGE_S = 3.2
 # Time in which an instance that is back registers again.
 REGISTER_AGAIN_S = 2.0
 
@@ -178,6 +183,39 @@
 
         self.run_fleet(scenario, instances=LARGE_FLEET_INSTANCES)
 
+    # Guards against commits at a replaced primary, and reads there, by
+    # instances that a new holder has deregistered: after an outage of the
+    # store, a change waited for few of those that used the old primary.
+    def test_a_change_under_a_new_holder_waits_for_all(self):
+        async def scenario(world):
+            await asyncio.sleep(registrations.MEMBER_EXPIRY_S)
+            await world.kill(world.holder().me.name)
+            await asyncio.sleep(10.0)
+            writing = [
+                asyncio.ensure_future(self.write(world, name))
+                for name in sorted(world.fleets)[::WRITING_SHARE]
+            ]
+            world.records.knobs.down = True
+            await asyncio.sleep(OUTAGE_S)
+            world.records.knobs.down = False
+            world.leave(world.group.primary)
+            observer = _LeaseObserver(world)
+            await observer.run(leases.LEASE_S + 3.0)
+            for task in writing:
+                task.cancel()
+            self.assertNotEqual([], world.promotions)
+            self.assertEqual(set(), observer.outdated)
+            self.assert_nothing_lost(world)
+
+        self.run_fleet(scenario, instances=LARGE_FLEET_INSTANCES)
+
+    async def write(self, world, name):
+        """Write through an instance until cancelled."""
+        caller = world.caller(name, "posts")
+        for number in itertools.count():
+            await caller.write(name, str(number))
+            await asyncio.sleep(0.05)
+
     # Guards against the deregistration of an instance that has just
     # registered and has not contacted the holder yet.
     def test_a_new_instance_is_not_deregistered(self):
