--- a/balsamhinge/fleet.py
+++ b/balsamhinge/fleet.py
@@ -142,6 +142,8 @@
         self.shutdown = None
         self._isolated_at = None
         self._may_change_primaries_from = 0.0
+        # Whether a record of this instance may be created at any time.
+        self._creating_record = False
         self.started_at = clock.now()
         self._tasks = set()
 
@@ -157,7 +159,11 @@
         After a new registration it must wait until every primary lease
         that was extended without its promise has expired.
         """
-        return self.dependencies.boot_time() >= self._may_change_primaries_from
+        now = self.dependencies.boot_time()
+        return (
+            not self._creating_record
+            and now >= self._may_change_primaries_from
+        )
 
     @property
     def may_change_primaries_from(self):
@@ -310,7 +316,11 @@
             "data_centre": self.me.data_centre,
         }
         while True:
-            due = not self.registered or self._is_member_list_outdated()
+            due = (
+                not self.registered
+                or self._creating_record
+                or self._is_member_list_outdated()
+            )
             if due and not self.stopping:
                 try:
                     await self._write_member_record(value)
@@ -343,19 +353,27 @@
     async def _write_member_record(self, value):
         """Read the records, and write this instance's own if it is missing."""
         await self.leaders.read()
-        if self.registered:
-            return
-        key = storedrecords.member_key(self.me.name)
-        listed = self.leaders.listing.records.get(key)
-        if listed is not None:
-            await self.leaders.put_record(key, value, listed.revision)
-        else:
-            self._may_change_primaries_from = (
-                self.dependencies.boot_time() + leases.EXTENDED_LEASE_S
+        if not self.registered:
+            key = storedrecords.member_key(self.me.name)
+            listed = self.leaders.listing.records.get(key)
+            if listed is None:
+                self._creating_record = True
+                self._postpone_changes()
+            await self.leaders.put_record(
+                key, value, listed.revision if listed else 0
             )
-            await self.leaders.put_record(key, value, 0)
-        await self.leaders.read()
-        event(log.notice, "instance_registered", instance=self.me.name)
+            await self.leaders.read()
+            event(log.notice, "instance_registered", instance=self.me.name)
+        if self._creating_record and self.registered:
+            # A call without an answer may have been executed late.
+            self._postpone_changes()
+            self._creating_record = False
+
+    def _postpone_changes(self):
+        """Begin no change of a primary for as long as a lease may last."""
+        self._may_change_primaries_from = (
+            self.dependencies.boot_time() + leases.EXTENDED_LEASE_S
+        )
 
     async def _sweep(self):
         self.directory.sweep()
--- a/tests/controllers/test_deregistration.py
+++ b/tests/controllers/test_deregistration.py
@@ -4,10 +4,12 @@
 import itertools
 
 from balsamhinge.controllers import storedrecords
+from balsamhinge import exceptions
 from balsamhinge import interfaces
 from balsamhinge.policy import leases
 from balsamhinge.policy import ownership
 from balsamhinge.policy import registrations
+from tests.support import fleet
 from tests.support import virtual
 
 __all__ = ["DeregisteredInstanceTest", "NewHolderTest"]
@@ -20,6 +22,8 @@
 WRITING_SHARE = 6
 # Duration of an outage of the store.
 OUTAGE_S = 3.2
+# Delay with which the store executes a call.
+LATE_S = 3.0
 # Time in which an instance that is back registers again.
 REGISTER_AGAIN_S = 2.0
 
@@ -145,6 +149,37 @@
 
         self.run_fleet(scenario)
 
+    # Guards against a change that is begun while others hold leases that were
+    # extended without the promise of a new instance: its registration took
+    # effect seconds after the call.
+    def test_a_late_registration_postpones_changes_from_its_effect(self):
+        async def scenario(world):
+            create = fleet.WorldStore.create
+
+            async def create_late(link, kind, name, value):
+                asyncio.get_running_loop().call_later(
+                    LATE_S, world.records.put, kind, name, value
+                )
+                self.patch(fleet.WorldStore, "create", create)
+                world.records.knobs.cut.add(member.name)
+                raise exceptions.StoreUnavailable("no answer")
+
+            self.patch(fleet.WorldStore, "create", create_late)
+            member = ownership.Member("north-9", "10.0.0.9:1", "north")
+            started = world.start_instance(member)
+            while not is_registered(world, member.name):
+                await asyncio.sleep(POLL_S)
+            created_at = started.dependencies.boot_time()
+            world.heal()
+            while not started.registered:
+                await asyncio.sleep(POLL_S)
+            while not started.may_change_primaries:
+                await asyncio.sleep(POLL_S)
+            waited_s = started.dependencies.boot_time() - created_at
+            self.assertGreaterEqual(waited_s, leases.EXTENDED_LEASE_S)
+
+        self.run_fleet(scenario)
+
     # Guards against instances that count a deregistered one for good, so that
     # none of them can pass leases on.
     def test_all_instances_learn_of_a_deregistration(self):
