--- a/tests/soak.py
+++ b/tests/soak.py
@@ -3,7 +3,9 @@
 ``python -m tests.soak --first 0 --seeds 100`` plays seeds and prints what
 broke; the tests of CI play a few. With ``--restores`` the store also comes
 back from older copies. With ``--customers`` callers have keys, which
-operators replace, and limits, beyond which one customer goes.
+operators replace, and limits, beyond which one customer goes. With
+``--absences`` instances are cut off until they are deregistered, come back,
+and are cut off again while the primary is replaced.
 """
 
 import argparse
@@ -15,10 +17,12 @@
 import attrs
 
 from balsamhinge.controllers import clock
+from balsamhinge.controllers import storedrecords
 from balsamhinge import exceptions
 from balsamhinge import interfaces
 from balsamhinge.policy import customers
 from balsamhinge.policy import leases
+from balsamhinge.policy import registrations
 from balsamhinge.policy import routes
 from balsamhinge.policy import statements
 from tests.support import fleet
@@ -38,6 +42,8 @@
 RESTORE_WEIGHT = 5
 # The same for the replacement of a key.
 KEY_WEIGHT = 4
+# The same for a long absence.
+ABSENCE_WEIGHT = 3
 # A target takes so long to hear of another primary.
 STEP_DOWN_S = 1.0
 SETTINGS = customers.CustomerSettings(
@@ -189,9 +195,10 @@
 class Soak:
     """One seed's callers and faults."""
 
-    def __init__(self, seed, restores, with_customers=False):
+    def __init__(self, seed, restores, with_customers=False, absences=False):
         self.rng = random.Random(f"soak/{seed}")
         self._restores = restores
+        self._absences = absences
         self.outcome = Outcome(seed)
         self._keys = Keys() if with_customers else None
         options = {}
@@ -361,6 +368,8 @@
         if self._keys:
             kinds += [self._replace_key] * KEY_WEIGHT
         kinds += [self._store_restored] * (RESTORE_WEIGHT * self._restores)
+        kinds += [self._long_absence] * (ABSENCE_WEIGHT * self._absences)
+        kinds += [self._deregister] * (ABSENCE_WEIGHT * self._absences)
         while clock.now() < ends_at:
             await asyncio.sleep(self.rng.uniform(0.0, 2.0))
             kind = self.rng.choice(kinds)
@@ -404,17 +413,43 @@
 
     async def _cut_instance(self):
         name = self.rng.choice(self.world.members).name
+        await self._cut_off(
+            name, self.rng.random() < 0.5, self.rng.uniform(0.2, 6.0)
+        )
+
+    async def _cut_off(self, name, from_others, seconds):
+        """Cut an instance off from the store, or from the others too."""
         knobs = self.world.records.knobs
         knobs.cut.add(name)
         pairs = set()
-        if self.rng.random() < 0.5:
+        if from_others:
             others = {member.name for member in self.world.members} - {name}
             pairs = {frozenset((name, other)) for other in others}
         self.world.cuts |= pairs
-        await self._for_a_while()
+        await asyncio.sleep(seconds)
         knobs.cut.discard(name)
         self.world.cuts -= pairs
 
+    async def _long_absence(self):
+        name = self.rng.choice(self.world.members).name
+        expiry_s = registrations.MEMBER_EXPIRY_S
+        absent_s = self.rng.uniform(expiry_s - 1.0, expiry_s + 4.0)
+        await self._cut_off(name, True, absent_s)
+        await self._for_a_while(3.0)
+        await self._replace_while_cut_off(name)
+
+    async def _deregister(self):
+        """Delete a record, as a call of an earlier holder does late."""
+        name = self.rng.choice(self.world.members).name
+        key = storedrecords.member_key(name)
+        self.world.records.drop(interfaces.LEADERS, key)
+        await self._for_a_while(1.0)
+        await self._replace_while_cut_off(name)
+
+    async def _replace_while_cut_off(self, name):
+        cutting = self._cut_off(name, True, self.rng.uniform(0.5, 4.0))
+        await asyncio.gather(cutting, self._leave())
+
     async def _store_down(self):
         knobs = self.world.records.knobs
         knobs.down = True
@@ -542,7 +577,7 @@
     return write.ended < read.begun - fleet.MAX_AGE_S
 
 
-def play(seed, restores=False, with_customers=False):
+def play(seed, restores=False, with_customers=False, absences=False):
     """Return the `Outcome` of one seed.
 
     Parameters
@@ -553,10 +588,12 @@
         Whether the store also comes back from older copies.
     with_customers : bool
         Whether callers have keys and limits.
+    absences : bool
+        Whether instances are deregistered while they are alive.
     """
 
     async def run():
-        return await Soak(seed, restores, with_customers).play()
+        return await Soak(seed, restores, with_customers, absences).play()
 
     return virtual.run_virtual(run())
 
@@ -570,10 +607,11 @@
     parser.add_argument("--seeds", type=int, default=20)
     parser.add_argument("--restores", action="store_true")
     parser.add_argument("--customers", action="store_true")
+    parser.add_argument("--absences", action="store_true")
     args = parser.parse_args(argv)
     red = 0
     for seed in range(args.first, args.first + args.seeds):
-        outcome = play(seed, args.restores, args.customers)
+        outcome = play(seed, args.restores, args.customers, args.absences)
         served = sum(ask.problem is None for ask in outcome.asks)
         print(
             f"seed={seed} asks={len(outcome.asks)} served={served} "
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,6 +21,13 @@
         self.assertEqual([], outcome.broken)
         self.assertGreater(len(outcome.asks), 1000)
 
+    # Guards against reads and commits at a replaced primary by an instance
+    # that was deregistered while it was alive.
+    def test_seed_with_absences(self):
+        outcome = soak.play(0, absences=True)
+        self.assertEqual([], outcome.broken)
+        self.assertGreater(len(outcome.asks), 1000)
+
     # The store also comes back from older copies.
     def test_seeds_with_restores(self):
         for seed in (2, 11):
