Choose the ports of a test together

Cause, one of two that were found: the tests asked four times in turn for a free port and released each at once.

Change: all ports of a start are held until the last one is chosen; the stop soak never takes one twice. The test runner prints the tracebacks again at the end.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -20,6 +20,8 @@
         super().__init__()
         self.passed = []
         self.failed = []
+        # Traceback of each failed test, by its name.
+        self.tracebacks = {}
 
     def addSuccess(self, test, details=None):  # noqa: N802
         """Record a test that passed."""
@@ -30,6 +32,7 @@
         self.failed.append(test.id())
         print(f"{kind}: {test.id()}")
         text = details["traceback"].as_text() if details else err
+        self.tracebacks[test.id()] = text
         print(text)
 
     def addFailure(self, test, err=None, details=None):  # noqa: N802
@@ -44,14 +47,14 @@
 
 
 def run_unit_tests():
-    """Run the unit tests; return the names that passed and failed."""
+    """Run the unit tests; return the report."""
     report = Report()
     loader = unittest.TestLoader()
     suite = loader.discover(str(ROOT / "tests"), "test_*.py", str(ROOT))
     report.startTestRun()
     suite.run(report)
     report.stopTestRun()
-    return report.passed, report.failed
+    return report
 
 
 def run_scenarios():
@@ -84,10 +87,13 @@
 
 def main():
     """Run everything; return the exit code."""
-    passed, failed = run_unit_tests()
-    more_passed, more_failed = run_scenarios()
-    passed += more_passed
-    failed += more_failed
+    report = run_unit_tests()
+    passed, failed = run_scenarios()
+    passed = report.passed + passed
+    failed = report.failed + failed
+    # Again at the end, as only the end of a long output may be kept.
+    for name, text in report.tracebacks.items():
+        print(f"{name}:\n{text}")
     allowed = read_known_red()
     for name in failed:
         mark = "known red" if name in allowed else "FAILED"
--- a/tests/peers/test_streams.py
+++ b/tests/peers/test_streams.py
@@ -67,8 +67,8 @@
     def __init__(self, secret=SECRET):
         self.lender = Lender()
         self.receive = lambda message: Message("one", holder=message.sender)
-        self.port = real.free_port()
-        address = f"{real.HOST}:{real.free_port()}"
+        self.port, port = real.free_ports(2)
+        address = f"{real.HOST}:{port}"
         self.member = ownership.Member("one", address, "n")
         self.server = streams.StreamServer(
             fleet.stream_handlers(
@@ -462,7 +462,8 @@
     def test_instance_without_streams_is_called_by_grpc(self):
         async def run():
             trust = security.PeerSecurity(SECRET)
-            address = f"{real.HOST}:{real.free_port()}"
+            port, stream_port = real.free_ports(2)
+            address = f"{real.HOST}:{port}"
             server = fleet.FleetServer(
                 lambda message: Message("one", holder=message.sender),
                 None,
@@ -470,7 +471,7 @@
                 trust,
             )
             await server.start(address)
-            client = make_client(real.free_port())
+            client = make_client(stream_port)
             member = ownership.Member("one", address, "n")
             try:
                 return await client.exchange(
--- a/tests/platform/stopfleet.py
+++ b/tests/platform/stopfleet.py
@@ -308,6 +308,8 @@
         found = []
         while len(found) < count:
             port = random.randrange(*PORTS)
+            if port in found:
+                continue
             with contextlib.suppress(OSError), contextlib.ExitStack() as stack:
                 for host in hosts:
                     sock = stack.enter_context(socket.socket())
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -1,7 +1,6 @@
 """Tests of one instance against test doubles on loopback sockets."""
 
 import asyncio
-import socket
 import time
 
 import logbook
@@ -20,24 +19,13 @@
 from balsamhinge.standins import replicas
 from tests.platform import oddvalues
 from tests.platform import standins
+from tests.support import real
 from tests.support import virtual
 
 # Ends a test that hangs; no assertion depends on this time.
 HANG_TIMEOUT_S = 60.0
 
 
-def free_port():
-    """Return a port on which nobody listens."""
-    return int(free_address().rpartition(":")[2])
-
-
-def free_address():
-    """Return an address on which nobody listens."""
-    with socket.socket() as sock:
-        sock.bind((standins.HOST, 0))
-        return f"{standins.HOST}:{sock.getsockname()[1]}"
-
-
 class Platform:
     """Three targets, the object store and one instance.
 
@@ -66,12 +54,16 @@
             spec = standins.entry(target, line_server.port)
             self.records.put("servers", target.name, spec)
         self.records.put("config", "main", standins.configuration(7, "ladder"))
+        stream_port, *ports = real.free_ports(4)
+        address, callers, readiness = (
+            f"{standins.HOST}:{port}" for port in ports
+        )
         self.settings = settings.PlatformSettings(
-            member=ownership.Member("one", free_address(), "n"),
+            member=ownership.Member("one", address, "n"),
             grace_s=2.0,
-            stream_port=free_port(),
-            callers=free_address(),
-            readiness=free_address(),
+            stream_port=stream_port,
+            callers=callers,
+            readiness=readiness,
             store=self.server.address,
             promotion=self.server.address,
             log_level="error",
