--- a/tests/policy/test_shutdown.py
+++ b/tests/policy/test_shutdown.py
@@ -56,18 +56,23 @@
         detector = self.running_until(5.0)
         self.assertEqual(5.0, detector.earliest_signal_at(10.05))
 
-    # The loop runs its timers before the handler of a signal.
+    # Guards against a stall that is forgotten before its signal is handled:
+    # the loop runs its timers before the handler.
     def test_a_check_between_stall_and_handler_hides_no_stall(self):
         detector = self.running_until(5.0)
         detector.record(10.05)
         self.assertEqual(5.0, detector.earliest_signal_at(10.06))
 
+    # Guards against a stop that is dated from a stall that ended before the
+    # signal, and refuses operations too early.
     def test_a_signal_long_after_a_stall_is_not_late(self):
         detector = self.running_until(5.0)
         for now in (10.05, 10.15, 10.25):
             detector.record(now)
         self.assertEqual(10.3, detector.earliest_signal_at(10.3))
 
+    # Guards against a stop that is dated from the last check of a process
+    # that has not stood still.
     def test_a_running_process_handles_signals_at_once(self):
         detector = self.running_until(5.0)
         self.assertEqual(5.05, detector.earliest_signal_at(5.05))
