--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -179,6 +179,10 @@
         # Bytes that take the place of stored strings, to simulate another
         # writer.
         self.raw_values = {}
+        self._stopped = asyncio.Event()
+        # While above 0, requests are received and never answered, not even
+        # after that time.
+        self.silences = 0
         # Called once after the next response, to simulate another writer.
         self.after_next_response = None
         self._server = None
@@ -192,6 +196,7 @@
 
     def stop(self):
         """Stop listening."""
+        self._stopped.set()
         self._server.close()
 
     async def _serve(self, reader, writer):
@@ -215,7 +220,11 @@
             elif isinstance(event, h11.Data):
                 body += event.data
             elif isinstance(event, h11.EndOfMessage):
+                was_silent = self.silences > 0
                 status, content = await self._answer(request, body)
+                if was_silent or self.silences:
+                    await self._stopped.wait()
+                    break
                 incarnation = self._tell_incarnation()
                 if self.after_next_response is not None:
                     self.after_next_response()
--- a/tests/platform/stopfleet.py
+++ b/tests/platform/stopfleet.py
@@ -210,10 +210,13 @@
         Seed of the work of statements; also chooses the addresses.
     folder : Path
         Folder of the settings and logs of the instances.
+    per_centre : int
+        Instances of each data centre.
     """
 
-    def __init__(self, seed, folder):
+    def __init__(self, seed, folder, per_centre=INSTANCES_PER_CENTRE):
         self.folder = folder
+        self._per_centre = per_centre
         self._rng = random.Random(f"stopfleet/{seed}")
         self._network = f"127.{20 + seed % 200}"
         self.received_at = {}
@@ -226,6 +229,8 @@
         self.instances = []
         self._servers = [self.store]
         self.version = 7
+        # Routes beside those that the callers use.
+        self.extra_routes = []
         self._tasks = set()
         # Difference between Unix seconds and loop seconds.
         self.unix_offset_s = 0.0
@@ -249,12 +254,14 @@
                 route["database"] += str(number)
             spec["routes"] += part["routes"]
             spec["services"] += part["services"]
+        spec["routes"] += self.extra_routes
         self.records.put("config", "main", part | spec)
 
     async def start_servers(self):
         """Start the store and the targets; write the settings."""
         self.unix_offset_s = time.time() - asyncio.get_running_loop().time()
-        await self.store.start()
+        if not self.store.address:
+            await self.store.start()
         for group in self.groups.values():
             for target in group.targets.values():
                 target.knobs.lag_s = LAG_S
@@ -276,15 +283,27 @@
             while not self._is_complete():
                 await asyncio.sleep(0.1)
 
-    def _add_instances(self):
-        addresses = {
+    def instance_names(self):
+        """Return the names of all instances."""
+        return list(self._addresses())
+
+    def store_address(self, name):
+        """Return the address at which an instance reaches the store."""
+        return self.store.address
+
+    def _addresses(self):
+        """Return the data centre and the host of each instance by name."""
+        return {
             f"front-{centre}-{number}": (
                 centre,
                 f"{self._network}.{c}.{number}",
             )
             for c, centre in enumerate(CENTRES, 10)
-            for number in range(1, INSTANCES_PER_CENTRE + 1)
+            for number in range(1, self._per_centre + 1)
         }
+
+    def _add_instances(self):
+        addresses = self._addresses()
         hosts = [host for _centre, host in addresses.values()]
         ports = self._free_ports(hosts, 4)
         for name, (centre, host) in addresses.items():
@@ -297,7 +316,7 @@
                 "ip": host,
                 "internal_ports.0": str(ports[2]),
                 "internal_ports.1": str(ports[3]),
-                "platform.address": self.store.address,
+                "platform.address": self.store_address(name),
                 "cloud.address": self.store.address,
             }
             instance = Instance(name, centre, self.folder, values)
