Log how long the store has answered nothing about routes

A hung watch looked the same as one without changes: news_age_s was 0 in both cases, and a refusal for an unknown database in an open session left no line. follow_failed, configuration_in_force and database_unknown now say unanswered_s, and balsamhinge_routes_unanswered_seconds exports it. No logic is changed.

--- a/balsamhinge/controllers/directory.py
+++ b/balsamhinge/controllers/directory.py
@@ -72,6 +72,8 @@
         self._changed = changed
         self.as_of = None
         self.records = {}
+        # Loop seconds of the latest answer, or of the start to follow.
+        self._answered_at = clock.now()
         # Called after each complete read that has been merged.
         self.listed = lambda asked_at, listing: None
 
@@ -88,6 +90,7 @@
                 self.as_of = None
                 self._resumed.clear()
                 await self._resumed.wait()
+                self._answered_at = clock.now()
                 continue
             started_at = clock.now()
             try:
@@ -105,16 +108,25 @@
                     kind=self._kind,
                     as_of=revisions.describe(self.as_of or 0),
                     seconds=clock.now() - started_at,
+                    unanswered_s=self.unanswered_s(),
                     error=exc,
                 )
                 self._health.record_failure(exc)
                 await clock.pause(RETRY_DELAY_S * rng.uniform(0.7, 1.3))
 
+    def unanswered_s(self):
+        """Return the seconds since the latest answer.
+
+        0 if this instance does not follow the store.
+        """
+        return clock.now() - self._answered_at if self._wanted() else 0.0
+
     async def _read(self):
         asked_at = self._health.boot_time()
         listing = await self._store.list(self._kind)
         self._health.record_answer(listing.as_of)
         self._replace(listing.records, listing.as_of)
+        self._answered_at = clock.now()
         self.listed(asked_at, listing)
 
     def _replace(self, records, as_of):
@@ -140,6 +152,7 @@
         self.as_of = max(changes.as_of, self.as_of)
         if changes.changes:
             self._replace(records, self.as_of)
+        self._answered_at = clock.now()
 
 
 @attrs.define
@@ -308,6 +321,7 @@
             routes=len(table.routes),
             source=source,
             news_age_s=self.age_s(),
+            unanswered_s=self.routes.unanswered_s(),
         )
 
     def _replace_version(self, table):
--- a/balsamhinge/metrics.py
+++ b/balsamhinge/metrics.py
@@ -94,6 +94,11 @@
 LEASES_VALID = prometheus_client.Gauge(
     "balsamhinge_leases_valid", "Whether primaries may be used."
 )
+ROUTES_UNANSWERED_S = prometheus_client.Gauge(
+    "balsamhinge_routes_unanswered_seconds",
+    "Time since the store last answered a read or a watch of the routes; 0"
+    " at an instance that does not follow the store.",
+)
 STORE_INCARNATION = prometheus_client.Gauge(
     "balsamhinge_store_incarnation",
     "Restores of the platform's store from an older copy, as known here.",
@@ -164,6 +169,7 @@
     KNOWLEDGE_AGE_S.set(leaders.book.read_age_s(now))
     valid_until = leaders.book.valid_until(leaders.other_names)
     LEASES_VALID.set(now < valid_until)
+    ROUTES_UNANSWERED_S.set(fleet.directory.routes.unanswered_s())
     STORE_INCARNATION.set(fleet.store_health.incarnation)
     OUTDATED_GROUPS.set(len(leaders.outdated_groups))
     DUTY_HELD.set(fleet.duty.held)
--- a/balsamhinge/platform/callers.py
+++ b/balsamhinge/platform/callers.py
@@ -319,6 +319,7 @@
                 "database_unknown",
                 database=database,
                 version=directory.table.version,
+                unanswered_s=directory.routes.unanswered_s(),
             )
             self._refuse(Problem.NO_DATABASE, database or "-")
             return
--- a/balsamhinge/sessions/session.py
+++ b/balsamhinge/sessions/session.py
@@ -243,6 +243,15 @@
         """
         route = self.route
         if route is None:
+            directory = self._fleet.directory
+            event(
+                log.info,
+                "database_unknown",
+                request_id=request_id,
+                database=self.database,
+                version=directory.table.version,
+                unanswered_s=directory.routes.unanswered_s(),
+            )
             return Answer.refusal(Problem.NO_DATABASE, self.database)
         customer = self._workload.customer
         shutdown = self._fleet.shutdown
