--- a/tests/controllers/test_directory.py
+++ b/tests/controllers/test_directory.py
@@ -259,16 +259,24 @@
 class SilentWatchTest(virtual.FleetTestCase):
     """Pattern: open connections stop delivering while new ones work."""
 
-    def measure_in_force_s(self, **options):
-        """Return how long a change takes after all watches have stalled."""
+    def measure_in_force_s(self, changed_after_s=RECOVERY_S, **options):
+        """Return how long a change takes after all watches have stalled.
+
+        Parameters
+        ----------
+        changed_after_s : float
+            Seconds from the stall to the change.
+        **options
+            See `FleetWorld`.
+        """
         took_s = []
 
         async def scenario(world):
             # A watch that has just started has the longest time to wait.
             world.configure()
-            await asyncio.sleep(1.0)
+            await asyncio.sleep(1.0 if changed_after_s else 0.1)
             world.records.silence_watches()
-            await asyncio.sleep(RECOVERY_S)
+            await asyncio.sleep(changed_after_s)
             table = world.configure()
             took_s.append(await wait_in_force(world, table.version))
 
@@ -282,3 +290,12 @@
     # The same where a few instances follow the store for all.
     def test_stalled_watches_of_few_readers_delay_no_configuration(self):
         self.assertLess(self.measure_in_force_s(**LARGE), IN_FORCE_S)
+
+    # Guards against a watch that is given up later than a configuration has
+    # to be in force: all instances had begun theirs just before the stall.
+    def test_a_change_beside_a_stall_of_all_watches_is_in_force_in_time(self):
+        self.assertLess(self.measure_in_force_s(0.0), IN_FORCE_S)
+
+    # The same where others learn it by gossip from those that follow.
+    def test_a_change_beside_a_stall_of_few_readers_is_in_force_in_time(self):
+        self.assertLess(self.measure_in_force_s(0.0, **LARGE), RECOVERY_S)
