Give up a watch before what it brings has to be in force

Callers were refused databases that had been added, or served by the old service, at all instances at once, up to 4.3 s after the acknowledgement and more than 4 s after the store had returned.

Cause: a watch waited 4 s and was given up after 5, while a configuration has to be in force within 3 s. A store, or a relay, that has taken a watch and lost it looks like one without changes until then. Each version ends the watches of all instances together, so all were blind together and gossip could not help. A pause after the time-out came on top.

Change: a watch has a wait and a time-out of its own, which follow from the bound of the records that it brings: 1.5 and 2.25 s for routes, 4 and 4.75 s for targets, which serve for another 7 s. In a large fleet the readers beside the holder of the duty, whom all ask first, use 3 and 3.75 s, so that the number of calls stays within what the test of few calls allows. The interval after a failure counts from the start of the failed call.

Ruled out: cancelling watches when another call times out. Overload and single lost answers would then cost more calls, and the bound does not need it.

--- a/balsamhinge/controllers/directory.py
+++ b/balsamhinge/controllers/directory.py
@@ -17,14 +17,9 @@
 
 __all__ = ["DirectoryController", "RecordFollower"]
 
-# Timeout of a watch. A watch that the store never answers looks like one
-# without changes until then, so it is short against the 4 s in which the
-# platform expects an instance to recover from broken connections. It is no
-# shorter, to limit the call rate to the store.
-WATCH_TIMEOUT_S = 4.0
-# Delay after a failed call: short against the 3 s in which a configuration
-# must be in force.
-RETRY_DELAY_S = 0.3
+# Interval between the starts of two calls of which the first one has failed:
+# short against the 3 s in which a configuration must be in force.
+RETRY_INTERVAL_S = 0.3
 # In a large fleet this many instances, besides the holder of the promotion
 # duty, follow the store for all; limits the call rate to the store.
 READER_COUNT = 2
@@ -44,6 +39,33 @@
 log = logbook.Logger(__name__)
 
 
+@attrs.frozen
+class WatchTimes:
+    """How long a watch of one kind of records lasts.
+
+    Parameters
+    ----------
+    wait_s : float
+        Seconds for which the store waits for a change. It charges for each
+        call.
+    timeout_s : float
+        Seconds after which a watch without an answer is given up. It may
+        have been lost, with all changes since it began.
+    """
+
+    wait_s: float
+    timeout_s: float
+
+
+# A configuration must be in force everywhere within 3 s, of which gossip to
+# those that do not follow the store takes up to 0.7 s.
+ROUTES_WATCH = WatchTimes(wait_s=1.5, timeout_s=2.25)
+# Watch of a reader beside another one, from which all learn of changes.
+RESERVE_ROUTES_WATCH = WatchTimes(wait_s=3.0, timeout_s=3.75)
+# A target that has announced its end serves for another 7 s.
+TARGETS_WATCH = WatchTimes(wait_s=4.0, timeout_s=4.75)
+
+
 class RecordFollower:
     """Keeps the records of one kind up to date.
 
@@ -61,9 +83,14 @@
         Returns whether to follow the store.
     resumed : asyncio.Event
         Set while the store is to be followed.
+    watch_times : callable
+        Returns the `WatchTimes` of the next watch.
     """
 
-    def __init__(self, store, kind, health, changed, wanted, resumed):
+    def __init__(
+        self, store, kind, health, changed, wanted, resumed, watch_times
+    ):
+        self._watch_times = watch_times
         self._wanted = wanted
         self._resumed = resumed
         self._store = store
@@ -83,7 +110,7 @@
         Parameters
         ----------
         rng : random.Random
-            Varies the delay after a failed call.
+            Varies the interval after a failed call.
         """
         while True:
             if not self._wanted():
@@ -112,7 +139,9 @@
                     error=exc,
                 )
                 self._health.record_failure(exc)
-                await clock.pause(RETRY_DELAY_S * rng.uniform(0.7, 1.3))
+                elapsed_s = clock.now() - started_at
+                interval_s = RETRY_INTERVAL_S * rng.uniform(0.7, 1.3)
+                await clock.pause(max(0.0, interval_s - elapsed_s))
 
     def unanswered_s(self):
         """Return the seconds since the latest answer.
@@ -135,8 +164,9 @@
         self._changed(self)
 
     async def _watch(self):
+        times = self._watch_times()
         changes = await self._store.watch(
-            self._kind, self.as_of, WATCH_TIMEOUT_S
+            self._kind, self.as_of, times.wait_s, times.timeout_s
         )
         self._health.record_answer(changes.as_of)
         records = dict(self.records)
@@ -182,6 +212,8 @@
         Tracks whether the store answers.
     is_reader : callable
         Returns whether this instance follows the store for others.
+    is_reserve : callable
+        Returns whether it does so beside another one that all ask.
     seed : object
         Seed of random delays.
 
@@ -201,10 +233,11 @@
         Set when a configuration comes into force.
     """
 
-    def __init__(self, store, health, is_reader, seed):
+    def __init__(self, store, health, is_reader, is_reserve, seed):
         self._rng = random.Random(f"directory/{seed}")
         self._health = health
         self._is_reader = is_reader
+        self._is_reserve = is_reserve
         self._max_gossip_age_s = MAX_GOSSIP_AGE_S + self._rng.uniform(
             0.0, MAX_GOSSIP_AGE_JITTER_S
         )
@@ -236,6 +269,7 @@
             self._merge_routes,
             self.is_following,
             resumed,
+            self._routes_watch_times,
         )
         self.entries = RecordFollower(
             store,
@@ -244,8 +278,12 @@
             self._merge_entries,
             self.is_following,
             resumed,
+            lambda: TARGETS_WATCH,
         )
 
+    def _routes_watch_times(self):
+        return RESERVE_ROUTES_WATCH if self._is_reserve() else ROUTES_WATCH
+
     def age_s(self):
         """Return the age of the known routes and targets in seconds."""
         following = self.routes.as_of is not None and (
--- a/balsamhinge/fleet.py
+++ b/balsamhinge/fleet.py
@@ -101,6 +101,7 @@
             dependencies.store,
             self.store_health,
             self.is_store_reader,
+            self.is_reserve_reader,
             f"{seed}/{me.name}",
         )
         self.customer_usage = customerusage.CustomerUsage()
@@ -249,6 +250,18 @@
             self._readers = ranked[: directory.READER_COUNT]
         return self.me in self._readers
 
+    def is_reserve_reader(self):
+        """Return whether another instance is the first to read the store.
+
+        In a large fleet all exchange gossip with the holder of the duty
+        first.
+        """
+        if not self.gossip.is_large or self.duty.held:
+            return False
+        if self.gossip.is_silent(self.duty.holder):
+            return False
+        return self.is_store_reader()
+
     def other_members(self):
         """Return all registered instances but this one."""
         return [
--- a/balsamhinge/interfaces.py
+++ b/balsamhinge/interfaces.py
@@ -343,13 +343,25 @@
         """Return the `Listing` of a kind, at least as new as the call."""
 
     @abc.abstractmethod
-    async def watch(self, kind, after, wait_s):
+    async def watch(self, kind, after, wait_s, timeout_s):
         """Return the `RecordChanges` after a revision.
 
-        Waits up to `wait_s` seconds for the first change.
+        Parameters
+        ----------
+        kind : str
+            Kind of the records.
+        after : int
+            The revision.
+        wait_s : float
+            Seconds for which the store waits for the first change.
+        timeout_s : float
+            Seconds after which a watch without an answer is given up.
 
         Raises
         ------
+        StoreUnavailable
+            If there is no answer in time. A store that waits and one that
+            has lost the call cannot be told apart before.
         HistoryExpired
             If the store no longer holds the changes since that revision, or
             was restored after it was told.
--- a/balsamhinge/platform/objects.py
+++ b/balsamhinge/platform/objects.py
@@ -32,9 +32,6 @@
 }
 OTHER_RESPONSE_PARTS = envelopes.response_parts()
 CALL_TIMEOUT_S = 1.0
-# The store answers a watch at most this long after the requested wait; added
-# to the wait, it is the timeout of the call.
-WATCH_TIMEOUT_MARGIN_S = 1.0
 # Limits the pages of one list; a page holds some hundred records.
 MAX_LIST_PAGES = 100
 # Header of each response that counts the incarnations of the store, from 1.
@@ -104,16 +101,14 @@
             after = _next_page(kind, after, page)
         return interfaces.Listing(records, as_of)
 
-    async def watch(self, kind, after, wait_s):
+    async def watch(self, kind, after, wait_s, timeout_s):
         """See `RecordStore.watch`."""
         if self._was_restored_since(after):
             raise exceptions.HistoryExpired(kind)
         number = revisions.number_of(after)
         query = f"?watch={number}&wait_ms={int(wait_s * 1000)}"
         answer = await self._call(
-            "GET",
-            self._path(kind) + query,
-            timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S,
+            "GET", self._path(kind) + query, timeout_s=timeout_s
         )
         if self._was_restored_since(after):
             # The store has given out that revision again.
--- a/balsamhinge/standins/records.py
+++ b/balsamhinge/standins/records.py
@@ -12,8 +12,6 @@
 
 # Changes that a watch may still ask for.
 HISTORY = 1000
-# A caller gives a watch up so long after the time that it asked for.
-WATCH_MARGIN_S = 1.0
 # Clocks do not advance by less than their resolution.
 LEAST_WAIT_S = 0.001
 
@@ -193,7 +191,7 @@
         found = {name: self._tell(record) for name, record in held.items()}
         return interfaces.Listing(found, self._as_of())
 
-    async def watch(self, kind, after, wait_s):
+    async def watch(self, kind, after, wait_s, timeout_s):
         """See `RecordStore.watch`."""
         await self._reach()
         loop = asyncio.get_running_loop()
@@ -205,7 +203,7 @@
             changes = self._records.since(kind, revisions.number_of(after))
             left_s = until - loop.time()
             if self._records.is_silent(begun):
-                await asyncio.sleep(left_s + WATCH_MARGIN_S)
+                await asyncio.sleep(begun + timeout_s - loop.time())
                 raise exceptions.StoreUnavailable("no answer")
             if changes or left_s < LEAST_WAIT_S:
                 break
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -17,6 +17,8 @@
 __all__ = ["LineServer", "ObjectServer", "configuration", "entry"]
 
 HOST = "127.0.0.1"
+# Time after the end of its wait in which a watch is answered.
+WATCH_MARGIN_S = 1.0
 
 
 def configuration(version, group, connections=23, **changes):
@@ -285,8 +287,9 @@
         kind = parts[0]
         match method:
             case "GET" if "watch" in query:
+                wait_s = int(query["wait_ms"]) / 1000
                 result = await self._client.watch(
-                    kind, int(query["watch"]), int(query["wait_ms"]) / 1000
+                    kind, int(query["watch"]), wait_s, wait_s + WATCH_MARGIN_S
                 )
                 events = [
                     {"object": encode_object(c.record), "deleted": c.deleted}
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -429,7 +429,7 @@
                 await store.create("leaders", name, {})
             listing = await store.list("leaders")
             self.assertEqual(list("abcde"), list(listing.records))
-            changes = await store.watch("leaders", created.revision, 1.0)
+            changes = await store.watch("leaders", created.revision, 1.0, 2.0)
             self.assertEqual(replaced, changes.changes[0].record)
             for call, error in (
                 (
@@ -476,7 +476,7 @@
                 "leaders", "a"
             )
             listing = await store.list("leaders")
-            changes = await store.watch("leaders", listing.as_of, 0.2)
+            changes = await store.watch("leaders", listing.as_of, 0.2, 1.2)
             store.close()
             server.stop()
             return changes.changes
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -78,7 +78,7 @@
             )
             await self.assert_raises(
                 exceptions.HistoryExpired,
-                store.watch(KIND, listing.as_of, 0.2),
+                store.watch(KIND, listing.as_of, 0.2, 1.2),
             )
 
         self.run_store(scenario)
@@ -178,7 +178,9 @@
                 listing = await store.list(interfaces.TARGETS)
                 found = {n: r.value for n, r in listing.records.items()}
                 self.check_targets(found, ["good", "z"])
-                changes = await store.watch(interfaces.TARGETS, before, 1.0)
+                changes = await store.watch(
+                    interfaces.TARGETS, before, 1.0, 2.0
+                )
                 self.assertEqual(backing.revision, changes.as_of, label)
                 found = {
                     one.record.name: one.record.value
@@ -222,7 +224,7 @@
                 )
                 for call in (
                     store.list(interfaces.TARGETS),
-                    store.watch(interfaces.TARGETS, 0, 0.1),
+                    store.watch(interfaces.TARGETS, 0, 0.1, 1.1),
                     store.create(KIND, f"n{number}", {}),
                 ):
                     await self.assert_raises(exceptions.StoreUnavailable, call)
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -167,9 +167,9 @@
         """See `RecordStore.list`."""
         return await self._carry(await super().list(kind), READ_S)
 
-    async def watch(self, kind, after, wait_s):
+    async def watch(self, kind, after, wait_s, timeout_s):
         """See `RecordStore.watch`."""
-        changes = await super().watch(kind, after, wait_s)
+        changes = await super().watch(kind, after, wait_s, timeout_s)
         return await self._carry(changes, READ_S)
 
     async def _carry(self, answer, timeout_s):
