Close idle connections that are older than a lost call

Behind a relay whose kernel answers for a silent server, all connections to the store can go silent at once and for good. A call that timed out closed its own connection only, and the next call took the next idle one: up to four time-outs of a second in succession, after the cause had ended, for reads, watches and promotions alike.

Change: a call that fails closes the idle connections that have not answered since it began. Kernel probes do not help here; they find peers that are gone.

Measured: both tests of DeadConnectionsTest failed before (the second call ended at its time-out of 10 s) and pass; a third shows that connections which have answered meanwhile stay.

--- a/balsamhinge/platform/http.py
+++ b/balsamhinge/platform/http.py
@@ -7,6 +7,7 @@
 import attrs
 import h11
 
+from balsamhinge.controllers import clock
 from balsamhinge import exceptions
 from balsamhinge.platform import bodies
 
@@ -52,11 +53,13 @@
     headers: dict = attrs.Factory(dict)
 
 
-@attrs.define
+@attrs.define(eq=False)
 class _Connection:
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
     machine: h11.Connection
+    # Loop seconds of the latest complete response, or of the opening.
+    answered_at: float = attrs.Factory(clock.now)
 
     def abort(self):
         self.writer.transport.abort()
@@ -103,6 +106,7 @@
             the request.
         """
         conn = None
+        started_at = clock.now()
         try:
             async with asyncio.timeout(timeout_s) as call_timeout:
                 conn = self._idle.pop() if self._idle else await self._open()
@@ -115,14 +119,12 @@
             h11.ProtocolError,
             asyncio.IncompleteReadError,
         ) as exc:
-            if conn is not None:
-                conn.abort()
+            self._discard(conn, started_at)
             raise exceptions.PlatformUnavailable(
                 f"{method} {path}: {type(exc).__name__} {exc}"
             ) from exc
         except BaseException:
-            if conn is not None:
-                conn.abort()
+            self._discard(conn, started_at)
             raise
         self._release(conn)
         return response
@@ -150,6 +152,28 @@
         data += conn.machine.send(h11.EndOfMessage())
         conn.writer.write(data)
 
+    def _discard(self, conn, started_at):
+        """Close a connection that has failed, and the idle ones of before.
+
+        What has silenced it may have silenced them too, and their kernel's
+        probes may be answered all the same.
+
+        Parameters
+        ----------
+        conn : _Connection or None
+            The connection; None if it was not opened.
+        started_at : float
+            Loop seconds of the begin of the call.
+        """
+        if conn is not None:
+            conn.abort()
+        suspected = [
+            idle for idle in self._idle if idle.answered_at < started_at
+        ]
+        for idle in suspected:
+            self._idle.remove(idle)
+            idle.abort()
+
     def _release(self, conn):
         reusable = (
             conn.machine.our_state is h11.DONE
@@ -159,6 +183,7 @@
             conn.writer.close()
             return
         conn.machine.start_next_cycle()
+        conn.answered_at = clock.now()
         self._idle.append(conn)
 
     def close(self):
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -11,6 +11,7 @@
 from balsamhinge.platform import http
 from balsamhinge.platform import objects
 from balsamhinge.standins import records
+from tests.platform import relays
 from tests.platform import standins
 from tests.support import world
 
@@ -20,8 +21,12 @@
 LINK_BYTES_PER_S = 125_000
 CHUNKS = 20
 CALL_TIMEOUT_S = 1.0
+IDLE_CONNECTIONS = 3
+# Timeout of a call that is lost, and of one that has to be answered.
+LOST_CALL_TIMEOUT_S = 0.2
+HANG_TIMEOUT_S = 10.0
 
-__all__ = ["KeepaliveTest", "LargeResponseTest"]
+__all__ = ["DeadConnectionsTest", "KeepaliveTest", "LargeResponseTest"]
 
 
 class KeepaliveTest(testtools.TestCase):
@@ -54,6 +59,83 @@
         self.assertLessEqual(idle_s + interval_s * probes, 3)
 
 
+class DeadConnectionsTest(testtools.TestCase):
+    """Open connections are silent for good, but their kernel answers."""
+
+    def run_relayed(self, scenario):
+        """Run `scenario(client, relay)` with idle connections."""
+
+        async def run():
+            server = standins.ObjectServer(records.Records(), {})
+            await server.start()
+            relay = relays.Relay(server.address)
+            await relay.start()
+            client = http.HttpClient(relay.address)
+            try:
+                await asyncio.gather(
+                    *(self.call(client) for _ in range(IDLE_CONNECTIONS))
+                )
+                await scenario(client, relay)
+            finally:
+                client.close()
+                relay.stop()
+                server.stop()
+
+        asyncio.run(run())
+
+    async def call(self, client, timeout_s=HANG_TIMEOUT_S):
+        """Read an object list; return the status code."""
+        path = f"{objects.PATH}/leaders"
+        response = await client.call("GET", path, timeout_s=timeout_s)
+        return response.status
+
+    # Guards against calls that time out one after the other, on one idle
+    # connection each, after what has silenced all of them has ended.
+    def test_a_lost_call_ends_the_idle_connections_of_before(self):
+        async def scenario(client, relay):
+            relay.begin_swallowing()
+            relay.end_swallowing()
+            try:
+                await self.call(client, LOST_CALL_TIMEOUT_S)
+                self.fail("a silent connection has answered")
+            except exceptions.PlatformUnavailable:
+                self.assertEqual(200, await self.call(client))
+
+        self.run_relayed(scenario)
+
+    # Guards against the same where the caller has a time-out of its own.
+    def test_a_cancelled_call_ends_the_idle_connections_of_before(self):
+        async def scenario(client, relay):
+            relay.begin_swallowing()
+            relay.end_swallowing()
+            try:
+                async with asyncio.timeout(LOST_CALL_TIMEOUT_S):
+                    await self.call(client)
+                self.fail("a silent connection has answered")
+            except TimeoutError:
+                self.assertEqual(200, await self.call(client))
+
+        self.run_relayed(scenario)
+
+    # Guards against connections that are closed although they have answered
+    # while another call waited.
+    def test_a_lost_call_keeps_connections_that_have_answered_since(self):
+        async def scenario(client, relay):
+            relay.begin_swallowing()
+            relay.end_swallowing()
+            lost = asyncio.ensure_future(
+                self.call(client, LOST_CALL_TIMEOUT_S)
+            )
+            await asyncio.sleep(0)
+            client.close()
+            self.assertEqual(200, await self.call(client))
+            await asyncio.wait([lost])
+            self.assertIsNotNone(lost.exception())
+            self.assertEqual(1, len(client._idle))
+
+        self.run_relayed(scenario)
+
+
 class NullWriter:
     """Discards the data that is written."""
 
