Give up a lost watch of the operators' text in time

A text that another program writes to the store is learnt from relays alone.

Change: 1.5 and 2.25 s; the interval between attempts counts from the start of the failed one; a failed watch leaves a line.

--- a/balsamhinge/controllers/dissemination.py
+++ b/balsamhinge/controllers/dissemination.py
@@ -21,7 +21,12 @@
 # supply a missing update.
 MEMBERS_PER_INTERVAL_SECOND = 2700
 EXCHANGE_TIMEOUT_S = 0.5
-STORE_WATCH_S = 20.0
+# Wait and timeout of a watch, and the interval between the starts of two of
+# which the first one has failed. A watch that the store has lost looks like
+# one without changes until its timeout, and a configuration must be in force
+# everywhere within 3 s.
+STORE_WATCH_S = 1.5
+STORE_WATCH_TIMEOUT_S = 2.25
 STORE_RETRY_INTERVAL_S = 1.0
 NOT_RELAY_POLL_S = 1.0
 RELAY_COUNT = 2
@@ -281,14 +286,24 @@
             ):
                 await self._members.changes.wait(NOT_RELAY_POLL_S)
                 continue
+            started_at = clock.now()
             try:
                 stored = await self._dependencies.store.watch(
-                    key, version, STORE_WATCH_S
+                    key, version, STORE_WATCH_S, STORE_WATCH_TIMEOUT_S
                 )
-            except exceptions.StoreUnavailable:
-                await clock.pause(
-                    STORE_RETRY_INTERVAL_S * self._rng.uniform(0.5, 1.5)
+            except exceptions.StoreUnavailable as exc:
+                elapsed_s = clock.now() - started_at
+                event(
+                    log.info,
+                    "store_watch_failed",
+                    key=key,
+                    seconds=elapsed_s,
+                    error=exc,
                 )
+                interval_s = STORE_RETRY_INTERVAL_S * self._rng.uniform(
+                    0.5, 1.5
+                )
+                await clock.pause(max(0.0, interval_s - elapsed_s))
                 continue
             if stored is not None:
                 version = max(version, stored.version)
--- a/balsamhinge/interfaces.py
+++ b/balsamhinge/interfaces.py
@@ -211,10 +211,11 @@
         """
 
     @abc.abstractmethod
-    async def watch(self, key, after, timeout_s):
+    async def watch(self, key, after, wait_s, timeout_s):
         """Wait for a version above `after`; return the object.
 
-        Returns None if there is none within `timeout_s` seconds.
+        Returns None if there is none within `wait_s` seconds. A watch
+        without an answer is given up after `timeout_s` seconds.
         """
 
 
--- a/balsamhinge/platform/client.py
+++ b/balsamhinge/platform/client.py
@@ -53,11 +53,11 @@
             raise exceptions.StoreConflict(response.text)
         return interfaces.StoredObject(_decode_version(response), value)
 
-    async def watch(self, key, after, timeout_s):
+    async def watch(self, key, after, wait_s, timeout_s):
         """See `ObjectStoreClient.watch`."""
-        params = {"after": after, "wait": timeout_s}
+        params = {"after": after, "wait": wait_s}
         response = await self._send(
-            "GET", key, params=params, timeout_s=timeout_s + CALL_TIMEOUT_S
+            "GET", key, params=params, timeout_s=timeout_s
         )
         if response.status_code in (NOT_FOUND, NOT_MODIFIED):
             return None
--- a/balsamhinge/standins/platform.py
+++ b/balsamhinge/standins/platform.py
@@ -89,7 +89,9 @@
             found = self._run(self._store.get(key), 0.0)
             return (200, found) if found else (404, None)
         wait_s = float(query["wait"])
-        watching = self._store.watch(key, int(query["after"]), wait_s)
+        watching = self._store.watch(
+            key, int(query["after"]), wait_s, wait_s + ANSWER_MARGIN_S
+        )
         found = self._run(watching, wait_s)
         return (200, found) if found else (304, None)
 
--- a/balsamhinge/standins/store.py
+++ b/balsamhinge/standins/store.py
@@ -55,6 +55,14 @@
         self._counts = collections.Counter()
         self._changed = asyncio.Condition()
         self._closed = False
+        self._silent_since = float("-inf")
+
+    def silence_watches(self):
+        """Answer no watch that waits now, not even later."""
+        self._silent_since = self._now()
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
 
     async def close(self):
         """End every watch."""
@@ -114,12 +122,15 @@
             raise exceptions.StoreUnavailable("the answer was lost")
         return stored
 
-    async def watch(self, key, after, timeout_s):
+    async def watch(self, key, after, wait_s, timeout_s):
         """See `ObjectStoreClient.watch`."""
         self._count_read()
+        begun = self._now()
         await self._answer()
 
         def newer():
+            if begun <= self._silent_since:
+                return False
             held = self.objects.get(key)
             return held is not None and held.version > after
 
@@ -127,10 +138,13 @@
             return newer() or self._closed
 
         try:
-            async with asyncio.timeout(timeout_s), self._changed:
+            async with asyncio.timeout(wait_s), self._changed:
                 await self._changed.wait_for(ended)
         except TimeoutError:
-            return None
+            if begun > self._silent_since:
+                return None
+            await asyncio.sleep(begun + timeout_s - self._now())
+            raise exceptions.StoreUnavailable("no answer") from None
         if not newer():
             return None
         await self._answer()
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -264,10 +264,10 @@
         """See `ObjectStoreClient.put`."""
         return await self._call(2.0, self._store.put(key, value, if_version))
 
-    async def watch(self, key, after, timeout_s):
+    async def watch(self, key, after, wait_s, timeout_s):
         """See `ObjectStoreClient.watch`."""
-        calling = self._store.watch(key, after, timeout_s)
-        return await self._call(timeout_s + 2.0, calling)
+        calling = self._store.watch(key, after, wait_s, timeout_s)
+        return await self._call(timeout_s, calling)
 
     async def _call(self, timeout_s, calling):
         try:
