Use a new connection for each call to the store at the first edges

At the PostgreSQL and HTTP edges an idle connection that has gone silent, behind a relay whose kernel answers, cost the next call its whole time-out of 2 s. The library closes no idle connections on request; calls are few (1.3 a second for each relay), so none is kept.

The relays of tests end their connections before the loop is closed.

--- a/balsamhinge/platform/client.py
+++ b/balsamhinge/platform/client.py
@@ -10,6 +10,9 @@
 __all__ = ["HttpStore"]
 
 CALL_TIMEOUT_S = 2.0
+# A connection that is kept may be silent when it is used again, which only a
+# timeout would show. Calls are few, so each has a connection of its own.
+LIMITS = httpx.Limits(max_keepalive_connections=0)
 PRECONDITION_FAILED = 412
 NOT_FOUND = 404
 NOT_MODIFIED = 304
@@ -33,6 +36,7 @@
             base_url=url,
             headers=headers,
             timeout=CALL_TIMEOUT_S,
+            limits=LIMITS,
             trust_env=False,
         )
 
--- a/tests/platform/configurationsoak.py
+++ b/tests/platform/configurationsoak.py
@@ -186,7 +186,7 @@
         """End every process, relay and task."""
         await super().stop()
         for relay in self.relays.values():
-            relay.stop()
+            await relay.stop()
 
 
 class Judge:
--- a/tests/platform/relays.py
+++ b/tests/platform/relays.py
@@ -1,7 +1,6 @@
 """Relays in front of a server that delay, lose and swallow what passes."""
 
 import asyncio
-import contextlib
 import enum
 import random
 
@@ -155,10 +154,12 @@
             self._connections.discard(conn)
             self._tasks.discard(asyncio.current_task())
 
-    def stop(self):
+    async def stop(self):
         """Stop listening and end all connections."""
         self._server.close()
-        for task in list(self._tasks):
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
-        with contextlib.suppress(RuntimeError):
-            self.reset()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        # Transports close in the next turn of the loop.
+        await asyncio.sleep(0)
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -78,7 +78,7 @@
                 await scenario(client, relay)
             finally:
                 client.close()
-                relay.stop()
+                await relay.stop()
                 server.stop()
 
         asyncio.run(run())
