--- a/tests/platform/configurationsoak.py
+++ b/tests/platform/configurationsoak.py
@@ -53,7 +53,14 @@
 STALL_CHECK_INTERVAL_S = 0.05
 MAX_PRINTED = 10
 
-STORE_FAULTS = ("silent", "down", "slow", "stalled_watches", "compaction")
+STORE_FAULTS = (
+    "silent",
+    "down",
+    "slow",
+    "stalled_watches",
+    "compaction",
+    "restored",
+)
 RELAY_FAULTS = (
     "swallow",
     "swallow_requests",
@@ -78,11 +85,14 @@
         Seconds in which faults begin.
     fault_s : tuple of float
         Shortest and longest fault.
+    per_centre : int
+        Instances of each data centre.
     """
 
     faults: tuple = FAULTS
     play_s: float = 30.0
     fault_s: tuple = FAULT_S
+    per_centre: int = INSTANCES_PER_CENTRE
 
 
 @attrs.frozen
@@ -150,8 +160,8 @@
 class RelayedFleet(stopfleet.Fleet):
     """A fleet in which each instance reaches the store through a relay."""
 
-    def __init__(self, seed, folder):
-        super().__init__(seed, folder, INSTANCES_PER_CENTRE)
+    def __init__(self, seed, folder, per_centre):
+        super().__init__(seed, folder, per_centre)
         self._seed = seed
         self.relays = {}
         self.changes = []
@@ -272,7 +282,7 @@
         self._options = options
         self._rng = random.Random(f"configurationsoak/{seed}")
         self.outcome = Outcome(seed)
-        self._fleet = RelayedFleet(seed, folder)
+        self._fleet = RelayedFleet(seed, folder, options.per_centre)
         self._probes = []
         self._disturbances = []
         self._identifiers = (f"{seed}x{n:x}" for n in itertools.count(1))
@@ -281,6 +291,8 @@
         self._changed_at = {}
         self._change_gaps_s = self._rng.choice(CHANGE_GAPS_S)
         self._started_at = 0.0
+        # Processes in whose place another one was started.
+        self._restarted = set()
 
     async def play(self):
         """Play changes and faults, then check how requests were handled."""
@@ -485,6 +497,10 @@
                 records.silence_watches()
             case "compaction":
                 records.forget_history()
+            case "restored":
+                copy = records.copy()
+                await asyncio.sleep(lasting_s)
+                records.restore(copy)
 
     async def _play_relay_fault(self, kind, instance, lasting_s):
         relay = self._fleet.relays[instance.name]
@@ -526,7 +542,9 @@
                 await self._fleet.end_process(incarnation, kill=True)
             else:
                 await incarnation.exited.wait()
-        if instance.current is incarnation:
+        # A second fault may have ended the same process.
+        if incarnation not in self._restarted:
+            self._restarted.add(incarnation)
             await self._fleet.start_instance(instance)
 
     # The check.
@@ -593,8 +611,14 @@
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--faults", nargs="+", choices=FAULTS, default=FAULTS)
     parser.add_argument("--lasting", nargs=2, type=float, default=FAULT_S)
+    parser.add_argument("--per-centre", type=int, default=INSTANCES_PER_CENTRE)
     args = parser.parse_args(argv)
-    options = Options(tuple(args.faults), args.seconds, tuple(args.lasting))
+    options = Options(
+        tuple(args.faults),
+        args.seconds,
+        tuple(args.lasting),
+        args.per_centre,
+    )
     red = 0
     for seed in range(args.first, args.first + args.seeds):
         outcome = play(seed, options, args.logs)
