Share the folder of a play between the soaks, and test the silence told

The line and the metric of a stall have a test of their own; it fails if the time without an answer is counted like the age of the directory.

--- a/tests/controllers/test_directory.py
+++ b/tests/controllers/test_directory.py
@@ -283,6 +283,20 @@
         self.run_fleet(scenario, **options)
         return took_s[0]
 
+    # Guards against a stall that no line and no metric shows while the age
+    # of the directory is 0.
+    def test_the_time_without_an_answer_is_known(self):
+        async def scenario(world):
+            world.records.silence_watches()
+            await asyncio.sleep(1.0)
+            for one in world.fleets.values():
+                self.assertEqual(0.0, one.directory.age_s())
+                self.assertGreaterEqual(
+                    one.directory.routes.unanswered_s(), 1.0
+                )
+
+        self.run_fleet(scenario)
+
     # Guards against a stalled watch being taken for one without changes.
     def test_stalled_watches_do_not_delay_a_configuration(self):
         self.assertLess(self.measure_in_force_s(), IN_FORCE_S)
--- a/tests/platform/configurationsoak.py
+++ b/tests/platform/configurationsoak.py
@@ -10,11 +10,9 @@
 import bisect
 import collections
 import itertools
-import pathlib
 import random
 import signal
 import sys
-import tempfile
 
 import attrs
 
@@ -570,19 +568,10 @@
     """Play a seed; return its `Outcome`."""
 
     def run(logs):
-        logs.mkdir(parents=True, exist_ok=True)
         soak = ConfigurationSoak(seed, options or Options(), logs)
         return asyncio.run(soak.play())
 
-    # Instances would inherit that SIGHUP is ignored, as under nohup.
-    earlier = signal.signal(signal.SIGHUP, signal.SIG_DFL)
-    try:
-        if folder is not None:
-            return run(pathlib.Path(folder) / f"seed-{seed}")
-        with tempfile.TemporaryDirectory(prefix="configurationsoak") as made:
-            return run(pathlib.Path(made))
-    finally:
-        signal.signal(signal.SIGHUP, earlier)
+    return stopfleet.run_with_logs(run, seed, folder)
 
 
 def report(outcome):
--- a/tests/platform/stopfleet.py
+++ b/tests/platform/stopfleet.py
@@ -8,6 +8,7 @@
 import signal
 import socket
 import sys
+import tempfile
 import time
 
 import attrs
@@ -18,7 +19,14 @@
 from tests.platform import standins
 from tests.platform import test_settings
 
-__all__ = ["CENTRES", "GRACE_S", "Fleet", "Incarnation", "Instance"]
+__all__ = [
+    "CENTRES",
+    "GRACE_S",
+    "Fleet",
+    "Incarnation",
+    "Instance",
+    "run_with_logs",
+]
 
 ROOT = pathlib.Path(__file__).parents[2]
 CENTRES = ("bkk-a", "bkk-b", "bkk-c")
@@ -428,3 +436,28 @@
             task.cancel()
         for server in self._servers:
             server.stop()
+
+
+def run_with_logs(run, seed, folder=None):
+    """Run a play of a seed with a folder for its output.
+
+    Parameters
+    ----------
+    run : callable
+        Takes the folder of the settings and logs of the instances.
+    seed : int
+        Seed of the play.
+    folder : str, optional
+        Folder in which that folder is kept; by default it is removed.
+    """
+    # Instances would inherit that SIGHUP is ignored, as under nohup.
+    earlier = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    try:
+        if folder is None:
+            with tempfile.TemporaryDirectory(prefix="soak") as made:
+                return run(pathlib.Path(made))
+        logs = pathlib.Path(folder) / f"seed-{seed}"
+        logs.mkdir(parents=True, exist_ok=True)
+        return run(logs)
+    finally:
+        signal.signal(signal.SIGHUP, earlier)
--- a/tests/platform/stopsoak.py
+++ b/tests/platform/stopsoak.py
@@ -8,12 +8,10 @@
 import argparse
 import asyncio
 import datetime
-import pathlib
 import random
 import re
 import signal
 import sys
-import tempfile
 
 import attrs
 
@@ -427,19 +425,10 @@
     """Play a seed; return its `Outcome`."""
 
     def run(logs):
-        logs.mkdir(parents=True, exist_ok=True)
         soak = StopSoak(seed, options or Options(), logs)
         return asyncio.run(soak.play())
 
-    # Instances would inherit that SIGHUP is ignored, as under nohup.
-    earlier = signal.signal(signal.SIGHUP, signal.SIG_DFL)
-    try:
-        if folder is not None:
-            return run(pathlib.Path(folder) / f"seed-{seed}")
-        with tempfile.TemporaryDirectory(prefix="stopsoak") as made:
-            return run(pathlib.Path(made))
-    finally:
-        signal.signal(signal.SIGHUP, earlier)
+    return stopfleet.run_with_logs(run, seed, folder)
 
 
 def report(outcome):
