Relay between instances in the soak of configurations

Change: with faults whose names begin with "peer_", each instance has relays in front of its two ports for other instances. They swallow both ways or one for good, delay, reset and lose. The relay in front of the store translates the addresses that an instance reads. A restored store keeps its older configuration for up to 2 s before operators write to it.

--- a/tests/platform/configurationsoak.py
+++ b/tests/platform/configurationsoak.py
@@ -44,6 +44,8 @@
 SESSION_STATEMENTS = 40
 CALL_TIMEOUT_S = 2.0
 SLOW_STORE_S = (0.2, 0.9)
+# Longest time until the operators write to a restored store.
+OLD_COPY_S = 2.0
 RELAY_DELAY_S = (0.05, 0.4)
 RELAY_LOSS = 0.2
 # A stall of this process is one of the store, which runs in it.
@@ -67,8 +69,14 @@
     "delay",
     "loss",
 )
+# The same between other instances and an instance.
+PEER_PREFIX = "peer_"
+PEER_FAULTS = tuple(PEER_PREFIX + kind for kind in RELAY_FAULTS)
 PROCESS_FAULTS = ("kill", "freeze", "term", "hup")
-FAULTS = STORE_FAULTS + RELAY_FAULTS + PROCESS_FAULTS
+FAULTS = STORE_FAULTS + RELAY_FAULTS + PROCESS_FAULTS + PEER_FAULTS
+# Difference between the third bytes of the IP addresses of an instance and
+# of the relays in front of it.
+RELAYED_OFFSET = 10
 
 
 @attrs.frozen
@@ -155,25 +163,84 @@
     plan: list = attrs.Factory(list)
 
 
+def relayed_host(host):
+    """Return the IP address of the relays in front of an instance."""
+    first, second, third, last = host.split(".")
+    return f"{first}.{second}.{int(third) + RELAYED_OFFSET}.{last}"
+
+
+@attrs.frozen
+class AddressTranslation:
+    """Lets an instance reach the others through their relays.
+
+    Parameters
+    ----------
+    hosts : list of str
+        IP addresses of the other instances.
+    """
+
+    hosts: list
+
+    def __call__(self, direction, data):
+        """Return bytes between the instance and the store, translated."""
+        for host in self.hosts:
+            own, relayed = (
+                f"{host}:".encode(),
+                f"{relayed_host(host)}:".encode(),
+            )
+            if direction is relays.Direction.ANSWERS:
+                data = data.replace(own, relayed)
+            else:
+                data = data.replace(relayed, own)
+        return data
+
+
 class RelayedFleet(stopfleet.Fleet):
-    """A fleet in which each instance reaches the store through a relay."""
+    """A fleet in which each instance reaches the store through a relay.
+
+    Parameters
+    ----------
+    seed, folder, per_centre
+        See `Fleet`.
+    has_peer_relays : bool
+        Whether instances reach each other through relays too.
+    """
 
-    def __init__(self, seed, folder, per_centre):
+    def __init__(self, seed, folder, per_centre, has_peer_relays):
         super().__init__(seed, folder, per_centre)
         self._seed = seed
+        self._has_peer_relays = has_peer_relays
         self.relays = {}
+        # Relays in front of each instance, by its name.
+        self.peer_relays = {}
         self.changes = []
         # Group of each added database.
         self.added = {}
 
     async def start_servers(self):
-        """Start the store, a relay for each instance, and the targets."""
+        """Start the store, the relays, and the targets."""
         await self.store.start()
-        for name in self.instance_names():
-            rng = random.Random(f"relay/{self._seed}/{name}")
-            self.relays[name] = relays.Relay(self.store.address, rng)
+        hosts = {name: host for name, (_, host) in self._addresses().items()}
+        for name in hosts:
+            others = [hosts[other] for other in hosts if other != name]
+            self.relays[name] = relays.Relay(
+                self.store.address,
+                random.Random(f"relay/{self._seed}/{name}"),
+                AddressTranslation(others) if self._has_peer_relays else None,
+            )
             await self.relays[name].start()
         await super().start_servers()
+        if self._has_peer_relays:
+            await self._start_peer_relays()
+
+    async def _start_peer_relays(self):
+        for instance in self.instances:
+            started = self.peer_relays[instance.name] = []
+            for port in instance.peer_ports:
+                rng = random.Random(f"peer/{self._seed}/{instance.name}")
+                relay = relays.Relay(f"{instance.host}:{port}", rng)
+                await relay.start(relayed_host(instance.host), port)
+                started.append(relay)
 
     def store_address(self, name):
         """See `Fleet.store_address`."""
@@ -193,7 +260,9 @@
     async def stop(self):
         """End every process, relay and task."""
         await super().stop()
-        for relay in self.relays.values():
+        for relay in itertools.chain(
+            self.relays.values(), *self.peer_relays.values()
+        ):
             await relay.stop()
 
 
@@ -280,7 +349,12 @@
         self._options = options
         self._rng = random.Random(f"configurationsoak/{seed}")
         self.outcome = Outcome(seed)
-        self._fleet = RelayedFleet(seed, folder, options.per_centre)
+        self._fleet = RelayedFleet(
+            seed,
+            folder,
+            options.per_centre,
+            has_peer_relays=any(f in PEER_FAULTS for f in options.faults),
+        )
         self._probes = []
         self._disturbances = []
         self._identifiers = (f"{seed}x{n:x}" for n in itertools.count(1))
@@ -464,7 +538,7 @@
             self._play_store_fault
             if kind in STORE_FAULTS
             else self._play_relay_fault
-            if kind in RELAY_FAULTS
+            if kind in RELAY_FAULTS + PEER_FAULTS
             else self._play_process_fault
         )
         await asyncio.gather(
@@ -499,26 +573,36 @@
                 copy = records.copy()
                 await asyncio.sleep(lasting_s)
                 records.restore(copy)
+                # Instances read the older configuration meanwhile.
+                await asyncio.sleep(self._rng.uniform(0.0, OLD_COPY_S))
 
     async def _play_relay_fault(self, kind, instance, lasting_s):
-        relay = self._fleet.relays[instance.name]
-        match kind:
-            case "swallow":
-                relay.begin_swallowing()
-            case "swallow_requests":
-                relay.begin_swallowing((relays.Direction.REQUESTS,))
-            case "swallow_answers":
-                relay.begin_swallowing((relays.Direction.ANSWERS,))
-            case "reset":
-                relay.reset()
-                return
-            case "delay":
-                relay.delay_s = self._rng.uniform(*RELAY_DELAY_S)
-            case "loss":
-                relay.loss = RELAY_LOSS
+        fleet = self._fleet
+        if kind in PEER_FAULTS:
+            faulty = fleet.peer_relays[instance.name]
+        else:
+            faulty = [fleet.relays[instance.name]]
+        kind = kind.removeprefix(PEER_PREFIX)
+        for relay in faulty:
+            match kind:
+                case "swallow":
+                    relay.begin_swallowing()
+                case "swallow_requests":
+                    relay.begin_swallowing((relays.Direction.REQUESTS,))
+                case "swallow_answers":
+                    relay.begin_swallowing((relays.Direction.ANSWERS,))
+                case "reset":
+                    relay.reset()
+                case "delay":
+                    relay.delay_s = self._rng.uniform(*RELAY_DELAY_S)
+                case "loss":
+                    relay.loss = RELAY_LOSS
+        if kind == "reset":
+            return
         await asyncio.sleep(lasting_s)
-        relay.end_swallowing()
-        relay.delay_s = relay.loss = 0.0
+        for relay in faulty:
+            relay.end_swallowing()
+            relay.delay_s = relay.loss = 0.0
 
     async def _play_process_fault(self, kind, instance, lasting_s):
         incarnation = instance.current
--- a/tests/platform/relays.py
+++ b/tests/platform/relays.py
@@ -72,7 +72,7 @@
                 await asyncio.sleep(relay.delay_s)
             if direction in self.swallowed or relay.loses_chunk():
                 continue
-            writer.write(data)
+            writer.write(relay.translate(direction, data))
             await writer.drain()
 
     def abort(self):
@@ -90,6 +90,9 @@
         IP:port.
     rng : random.Random
         Chooses the chunks that are lost.
+    translate : callable, optional
+        Returns the bytes to pass on, of the same length, for a `Direction`
+        and the bytes of a chunk.
 
     Attributes
     ----------
@@ -101,8 +104,9 @@
         Share of chunks that are lost in the middle of a connection.
     """
 
-    def __init__(self, address_of_server, rng=None):
+    def __init__(self, address_of_server, rng=None, translate=None):
         self.address_of_server = address_of_server
+        self.translate = translate or (lambda direction, data: data)
         self.address = ""
         self.delay_s = 0.0
         self.loss = 0.0
@@ -112,11 +116,11 @@
         self._tasks = set()
         self._server = None
 
-    async def start(self):
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._accept, HOST, 0)
+    async def start(self, host=HOST, port=0):
+        """Listen on a port, by default on a free one."""
+        self._server = await asyncio.start_server(self._accept, host, port)
         port = self._server.sockets[0].getsockname()[1]
-        self.address = f"{HOST}:{port}"
+        self.address = f"{host}:{port}"
 
     def loses_chunk(self):
         """Return whether the next chunk is lost."""
--- a/tests/platform/stopfleet.py
+++ b/tests/platform/stopfleet.py
@@ -155,6 +155,12 @@
         self.data_centre = data_centre
         self.callers = values["listen.front"]
         self.readiness = values["listen.ready"]
+        self.host = values["ip"]
+        # Ports on which other instances reach it.
+        self.peer_ports = (
+            int(values["internal_ports.0"]),
+            int(values["internal_ports.1"]),
+        )
         self.log = folder / f"{name}.log"
         self.settings = folder / f"{name}.ini"
         self.text = test_settings.render(values, CENTRES)
