Hold bytes back in the soak of configurations

Cause: the relays lost what they did not pass on. A partition that heals delivers it late instead: answers, gossip and calls arrive seconds after they were sent.

Change: relays hold bytes back for the time of the fault "hold", in front of the store and ("peer_hold") of other instances, and then pass them on.

--- a/tests/platform/configurationsoak.py
+++ b/tests/platform/configurationsoak.py
@@ -68,6 +68,7 @@
     "reset",
     "delay",
     "loss",
+    "hold",
 )
 # The same between other instances and an instance.
 PEER_PREFIX = "peer_"
@@ -597,11 +598,14 @@
                     relay.delay_s = self._rng.uniform(*RELAY_DELAY_S)
                 case "loss":
                     relay.loss = RELAY_LOSS
+                case "hold":
+                    relay.passing.clear()
         if kind == "reset":
             return
         await asyncio.sleep(lasting_s)
         for relay in faulty:
             relay.end_swallowing()
+            relay.passing.set()
             relay.delay_s = relay.loss = 0.0
 
     async def _play_process_fault(self, kind, instance, lasting_s):
--- a/tests/platform/relays.py
+++ b/tests/platform/relays.py
@@ -70,6 +70,7 @@
         while data := await reader.read(CHUNK_BYTES):
             if relay.delay_s:
                 await asyncio.sleep(relay.delay_s)
+            await relay.passing.wait()
             if direction in self.swallowed or relay.loses_chunk():
                 continue
             writer.write(relay.translate(direction, data))
@@ -102,6 +103,8 @@
         Seconds by which each chunk is delayed.
     loss : float
         Share of chunks that are lost in the middle of a connection.
+    passing : asyncio.Event
+        While it is clear, chunks are held back, and passed on later.
     """
 
     def __init__(self, address_of_server, rng=None, translate=None):
@@ -110,6 +113,8 @@
         self.address = ""
         self.delay_s = 0.0
         self.loss = 0.0
+        self.passing = asyncio.Event()
+        self.passing.set()
         self._rng = rng or random.Random(0)
         self._swallowing = ()
         self._connections = set()
