Turn instances away in the soak of configurations

Cause: the rule stretches its bound by 12 s while the store turns some instances away; the soak expected nothing of a configuration meanwhile.

Change: the store answers some instances, never all, with 429, 503, a reset or not at all, for 12 s and more; the judge applies the longer bound then, and while the store has no history.

--- a/tests/platform/configurationsoak.py
+++ b/tests/platform/configurationsoak.py
@@ -10,6 +10,7 @@
 import bisect
 import collections
 import itertools
+import math
 import random
 import signal
 import sys
@@ -24,6 +25,9 @@
 
 # Bounds of the rule CONFIG.
 CONFIG_APPLY_S = 3.0
+# Addition for instances in touch while the store is disturbed, but neither
+# down nor slow, and has lost no answers.
+OUTER_S = 12.0
 STABLE_WINDOW_S = 4.0
 DOWNGRADE_SLACK_S = 0.25
 SLOW_DOWNGRADE_SLACK_S = 2.0
@@ -61,6 +65,10 @@
     "compaction",
     "restored",
 )
+# The store turns some instances away, and serves the others.
+REFUSAL_FAULTS = ("busy", "unavailable", "resetting", "unresponsive")
+# Faults beside which a configuration is in force within the longer bound.
+OUTER_FAULTS = REFUSAL_FAULTS + ("compaction",)
 RELAY_FAULTS = (
     "swallow",
     "swallow_requests",
@@ -74,7 +82,9 @@
 PEER_PREFIX = "peer_"
 PEER_FAULTS = tuple(PEER_PREFIX + kind for kind in RELAY_FAULTS)
 PROCESS_FAULTS = ("kill", "freeze", "term", "hup")
-FAULTS = STORE_FAULTS + RELAY_FAULTS + PROCESS_FAULTS + PEER_FAULTS
+FAULTS = (
+    STORE_FAULTS + REFUSAL_FAULTS + RELAY_FAULTS + PROCESS_FAULTS + PEER_FAULTS
+)
 # Difference between the third bytes of the IP addresses of an instance and
 # of the relays in front of it.
 RELAYED_OFFSET = 10
@@ -148,7 +158,12 @@
     kind: str
     instance: str
     begin: float
-    end: float = float("inf")
+    end: float = math.inf
+
+    @property
+    def is_of_store(self):
+        """Return whether the store is not stable meanwhile."""
+        return not self.instance or self.kind in REFUSAL_FAULTS
 
 
 @attrs.define
@@ -288,15 +303,31 @@
 
     def is_in_touch(self, probe):
         """Return whether no fault has touched the instance or the store."""
+        return self.apply_bound_s(probe) == CONFIG_APPLY_S
+
+    def apply_bound_s(self, probe):
+        """Return the time within which versions have to be in force.
+
+        Returns
+        -------
+        float
+            Seconds; infinite for an instance that is not in touch.
+        """
         starts_at = probe.incarnation.started_at
         if probe.sent_at < starts_at + STABLE_WINDOW_S:
-            return False
-        return not any(
-            each.instance in ("", probe.instance)
+            return math.inf
+        touching = [
+            each.kind
+            for each in self._disturbances
+            if (each.instance in ("", probe.instance) or each.is_of_store)
             and each.begin < probe.ended_at
             and probe.sent_at < each.end + STABLE_WINDOW_S
-            for each in self._disturbances
-        )
+        ]
+        if not touching:
+            return CONFIG_APPLY_S
+        if all(kind in OUTER_FAULTS for kind in touching):
+            return CONFIG_APPLY_S + OUTER_S
+        return math.inf
 
     def _state(self, probe):
         """Return the group that ran a request; None if it was refused."""
@@ -311,16 +342,15 @@
         Probes have to be given in the order of their ends.
         """
         state = self._state(probe)
-        in_touch = self.is_in_touch(probe)
+        bound_s = self.apply_bound_s(probe)
+        in_touch = bound_s == CONFIG_APPLY_S
         slack_s = DOWNGRADE_SLACK_S if in_touch else SLOW_DOWNGRADE_SLACK_S
         seen = self._seen[probe.incarnation]
         known = max(
             (i for at, i in seen if at + slack_s < probe.sent_at), default=0
         )
-        due = 0
-        if in_touch:
-            due = bisect.bisect(self._times, probe.sent_at - CONFIG_APPLY_S)
-            due = max(0, due - 1)
+        due = bisect.bisect(self._times, probe.sent_at - bound_s)
+        due = max(0, due - 1)
         latest = bisect.bisect(self._times, probe.ended_at)
         matching = [
             index
@@ -527,6 +557,10 @@
         await asyncio.sleep(rng.choice([0.0, rng.uniform(0.0, 2.0)]))
         if kind in STORE_FAULTS:
             chosen = [""]
+        elif kind in REFUSAL_FAULTS:
+            # Long enough for the longer bound to pass.
+            lasting_s += OUTER_S
+            chosen = self._choose_refused()
         else:
             instances = self._fleet.instances
             count = rng.choice([1, 3, len(instances)])
@@ -535,13 +569,14 @@
         self._note(f"{kind} {','.join(names)} for {lasting_s:.2f} s")
         begun = [Disturbance(kind, name, self._now()) for name in names]
         self._disturbances += begun
-        play_kind = (
-            self._play_store_fault
-            if kind in STORE_FAULTS
-            else self._play_relay_fault
-            if kind in RELAY_FAULTS + PEER_FAULTS
-            else self._play_process_fault
-        )
+        if kind in STORE_FAULTS:
+            play_kind = self._play_store_fault
+        elif kind in REFUSAL_FAULTS:
+            play_kind = self._play_refusal_fault
+        elif kind in PROCESS_FAULTS:
+            play_kind = self._play_process_fault
+        else:
+            play_kind = self._play_relay_fault
         await asyncio.gather(
             *(play_kind(kind, each, lasting_s) for each in chosen)
         )
@@ -577,6 +612,33 @@
                 # Instances read the older configuration meanwhile.
                 await asyncio.sleep(self._rng.uniform(0.0, OLD_COPY_S))
 
+    def _choose_refused(self):
+        """Return instances that the store turns away; it serves one."""
+        instances = self._fleet.instances
+        served = sum(
+            relay.refusal is None and not relay.is_swallowing
+            for relay in self._fleet.relays.values()
+        )
+        count = min(self._rng.randrange(1, len(instances)), served - 1)
+        return self._rng.sample(instances, count)
+
+    async def _play_refusal_fault(self, kind, instance, lasting_s):
+        relay = self._fleet.relays[instance.name]
+        match kind:
+            case "busy":
+                relay.refusal = relays.Refusal.BUSY
+            case "unavailable":
+                relay.refusal = relays.Refusal.UNAVAILABLE
+            case "resetting":
+                relay.refusal = relays.Refusal.RESET
+            case "unresponsive":
+                relay.begin_swallowing()
+        relay.reset()
+        await asyncio.sleep(lasting_s)
+        relay.refusal = None
+        relay.end_swallowing()
+        relay.reset()
+
     async def _play_relay_fault(self, kind, instance, lasting_s):
         fleet = self._fleet
         if kind in PEER_FAULTS:
--- a/tests/platform/relays.py
+++ b/tests/platform/relays.py
@@ -4,7 +4,7 @@
 import enum
 import random
 
-__all__ = ["Direction", "Relay"]
+__all__ = ["Direction", "Refusal", "Relay"]
 
 HOST = "127.0.0.1"
 CHUNK_BYTES = 65536
@@ -20,6 +20,16 @@
 BOTH = tuple(Direction)
 
 
+class Refusal(enum.Enum):
+    """How requests of HTTP are refused instead of being relayed."""
+
+    BUSY = b"HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n"
+    UNAVAILABLE = (
+        b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+    )
+    RESET = b""
+
+
 class RelayedConnection:
     """One connection through a relay.
 
@@ -41,6 +51,9 @@
             if len(self.swallowed) == len(BOTH):
                 await self._discard(reader)
                 return
+            if self._relay.refusal is not None:
+                await self._refuse(reader, writer, self._relay.refusal)
+                return
             host, _, port = self._relay.address_of_server.rpartition(":")
             server = await asyncio.open_connection(host, int(port))
             self._writers.append(server[1])
@@ -65,6 +78,13 @@
         while await reader.read(CHUNK_BYTES):
             pass
 
+    async def _refuse(self, reader, writer, refusal):
+        while await reader.read(CHUNK_BYTES):
+            if not refusal.value:
+                return
+            writer.write(refusal.value)
+            await writer.drain()
+
     async def _pump(self, reader, writer, direction):
         relay = self._relay
         while data := await reader.read(CHUNK_BYTES):
@@ -103,6 +123,8 @@
         Seconds by which each chunk is delayed.
     loss : float
         Share of chunks that are lost in the middle of a connection.
+    refusal : Refusal or None
+        How requests on connections that are opened from now on are refused.
     passing : asyncio.Event
         While it is clear, chunks are held back, and passed on later.
     """
@@ -113,6 +135,7 @@
         self.address = ""
         self.delay_s = 0.0
         self.loss = 0.0
+        self.refusal = None
         self.passing = asyncio.Event()
         self.passing.set()
         self._rng = rng or random.Random(0)
@@ -131,6 +154,11 @@
         """Return whether the next chunk is lost."""
         return bool(self.loss) and self._rng.random() < self.loss
 
+    @property
+    def is_swallowing(self):
+        """Return whether new connections stay silent."""
+        return bool(self._swallowing)
+
     def begin_swallowing(self, directions=BOTH):
         """Swallow what comes, for good on each connection there is.
 
--- a/tests/platform/test_configurationsoak.py
+++ b/tests/platform/test_configurationsoak.py
@@ -52,10 +52,10 @@
         )
         return self.judge.judge(probe)
 
-    def disturb(self, instance, begin, end):
+    def disturb(self, instance, begin, end, kind="swallow"):
         """Add a fault."""
         self.disturbances.append(
-            configurationsoak.Disturbance("swallow", instance, begin, end)
+            configurationsoak.Disturbance(kind, instance, begin, end)
         )
 
     # Guards against a soak that misses a route that is not yet served.
@@ -99,6 +99,18 @@
         self.assertEqual("", self.judge_probe(ADDED_AT + 13.9, None))
         self.assertIn("late", self.judge_probe(ADDED_AT + 14.1, None))
 
+    # Guards against a soak that expects nothing while the store turns some
+    # instances away.
+    def test_refusals_of_the_store_lengthen_the_bound(self):
+        self.disturb("front-2", ADDED_AT, ADDED_AT + 30.0, "unavailable")
+        self.assertEqual("", self.judge_probe(ADDED_AT + 14.9, None))
+        self.assertIn("late", self.judge_probe(ADDED_AT + 15.1, None))
+
+    def test_a_second_fault_suspends_the_longer_bound(self):
+        self.disturb("front-2", ADDED_AT, ADDED_AT + 30.0, "unavailable")
+        self.disturb("front-1", ADDED_AT, ADDED_AT + 30.0, "freeze")
+        self.assertEqual("", self.judge_probe(ADDED_AT + 15.1, None))
+
 
 class ConfigurationSoakTest(testtools.TestCase):
     """Configurations change while real processes lose the store."""
