Promote no target without the commits of the latest term

Cause: the next primary of a group was chosen among the targets that answer. Where the present one is silent, and the other replica too, an old primary that is back after a cut, before it has followed its successor, was the only one: all commits since the cut were lost.

Change: a target whose log has no entry of the latest term in which the primary is known to have led is not chosen while another target is listed that may hold the commits of that term.

Ruled out: leases of the instances that were cut off; the first wrong commit came by an instance that never was.

Result: test_a_target_without_the_latest_commits_is_not_promoted fails on the code before (acknowledged commits are missing) and passes.

--- a/balsamhinge/controllers/failover.py
+++ b/balsamhinge/controllers/failover.py
@@ -491,6 +491,7 @@
         fleet = self._fleet
         started_at = clock.now()
         old = fleet.directory.targets.get(leadership.target)
+        led_term = self._known_term(leadership)
         while True:
             targets = self._candidates(leadership)
             if old is not None:
@@ -498,6 +499,7 @@
             reports = await self.query_reports(targets)
             term = max((r.term for r in reports.values()), default=0)
             excluded = {target.name for target in targets if target.leaving}
+            excluded |= self._find_incomplete(leadership, reports, led_term)
             old_report = reports.get(leadership.target)
             eligible = old_report is not None and self._may_reinstate(
                 leadership
@@ -540,6 +542,52 @@
                 return leadership.target, term
             await clock.pause(POLL_INTERVAL_S)
 
+    def _known_term(self, leadership):
+        """Return the latest term in which a primary is known to have led."""
+        fleet = self._fleet
+        return max(
+            fleet.leaders.last_position(leadership).term,
+            fleet.health.of(leadership.target).applied.term,
+        )
+
+    def _find_incomplete(self, leadership, reports, term):
+        """Return targets that lack what another one may still hold.
+
+        A target that was cut off when its group got a new primary has none
+        of the commits since. Where no target that is listed can hold them,
+        any may become the primary.
+
+        Parameters
+        ----------
+        leadership : Leadership
+            The current record.
+        reports : dict of str to TargetReport
+            Reports of the targets that answered, by name.
+        term : int
+            Latest term in which the primary is known to have led.
+
+        Returns
+        -------
+        set of str
+        """
+        incomplete = failoverrules.find_incomplete(reports, term)
+        listed = {
+            target.name
+            for target in self._fleet.directory.targets.values()
+            if target.group == leadership.group
+        }
+        if not incomplete or listed <= incomplete:
+            return set()
+        event(
+            log.warning,
+            "targets_incomplete",
+            group=leadership.group,
+            targets=",".join(sorted(incomplete)),
+            term=term,
+            unheard=",".join(sorted(listed - reports.keys())),
+        )
+        return incomplete
+
     def _may_reinstate(self, leadership):
         """Return whether the old primary may be chosen again.
 
--- a/balsamhinge/policy/failoverrules.py
+++ b/balsamhinge/policy/failoverrules.py
@@ -10,6 +10,7 @@
     "FailoverAction",
     "PrimaryHealth",
     "choose_successor",
+    "find_incomplete",
     "decide_action",
     "find_newer_leader",
     "is_unresponsive_to_most",
@@ -138,6 +139,25 @@
     )
 
 
+def find_incomplete(reports, term):
+    """Return the targets whose log has no entry of a term.
+
+    Parameters
+    ----------
+    reports : dict of str to TargetReport
+        Reports of the targets that answered, by name.
+    term : int
+        Term in which commits have been acknowledged.
+
+    Returns
+    -------
+    set of str
+    """
+    return {
+        name for name, report in reports.items() if report.received.term < term
+    }
+
+
 def find_newer_leader(reports, recorded, term):
     """Return another target that leads in a later term than the recorded one.
 
--- a/tests/controllers/test_failover.py
+++ b/tests/controllers/test_failover.py
@@ -64,6 +64,29 @@
 
         self.run_fleet(scenario)
 
+    # Guards against commits that are lost because a target that has been cut
+    # off since before them is promoted while no other one answers.
+    def test_a_target_without_the_latest_commits_is_not_promoted(self):
+        async def scenario(world):
+            old = world.group.primary
+            old.knobs.dark = old.knobs.lonely = True
+            while world.group.primary is old:
+                await asyncio.sleep(0.01)
+            await self.write_for(world, 1.0)
+            latest = world.acknowledged[-1][2]
+            self.assertGreater(latest.term, 1)
+            # The old primary is back before it hears of the new one.
+            for target in world.group.targets.values():
+                target.knobs.dark = target is not old
+            await asyncio.sleep(2.0)
+            for target in world.group.targets.values():
+                target.knobs.dark = False
+            await self.write_for(world, 2.0)
+            self.assert_nothing_lost(world)
+            self.assertGreater(world.acknowledged[-1][2], latest)
+
+        self.run_fleet(scenario)
+
     # Guards against a holder that spends its processor on instances that do
     # not answer: 16 calls a second to each of them, for every group.
     def test_an_unreachable_instance_gets_one_call_at_a_time(self):
--- a/tests/policy/test_failoverrules.py
+++ b/tests/policy/test_failoverrules.py
@@ -20,9 +20,9 @@
 )
 
 
-def report(number, role=Role.REPLICA, term=1):
+def report(number, role=Role.REPLICA, term=1, written_in=1):
     """Return a target's report with a log of `number` entries."""
-    position = positions.LogPosition(1, number)
+    position = positions.LogPosition(written_in, number)
     return interfaces.TargetReport(role, term, position, position)
 
 
@@ -91,3 +91,8 @@
         self.assertIsNone(failoverrules.choose_successor({}, set()))
         reports = {"a": report(4)}
         self.assertIsNone(failoverrules.choose_successor(reports, {"a"}))
+
+    def test_a_log_without_an_entry_of_the_term_is_incomplete(self):
+        reports = {"a": report(9), "b": report(4, term=2, written_in=2)}
+        self.assertEqual({"a"}, failoverrules.find_incomplete(reports, 2))
+        self.assertEqual(set(), failoverrules.find_incomplete(reports, 1))
