Use a promoted target in its new term only

Cause: a promotion was taken for done when the target said that it leads in the latest term that any answering target reports.

Change: a promoted target leads once it reports a later term than any known one. It may lead in the same term if it led in a later one than the recorded primary before, or if a promotion would have taken effect: the platform changes nothing for the present primary.

Result: test_a_reinstated_primary_is_used_in_its_new_term_only fails on the code before (commits in terms 1 and 3) and passes.

--- a/balsamhinge/controllers/failover.py
+++ b/balsamhinge/controllers/failover.py
@@ -47,6 +47,25 @@
 log = logbook.Logger(__name__)
 
 
+@attrs.frozen
+class _Choice:
+    """The target that becomes the primary of a group.
+
+    Parameters
+    ----------
+    target : str or None
+        Its name; None if no target qualifies.
+    term : int
+        Latest term of the group that is known.
+    already_leads : bool
+        Whether it leads in a later term than the recorded primary.
+    """
+
+    target: str | None
+    term: int
+    already_leads: bool
+
+
 class FailoverController:
     """Monitors every primary while this instance holds the promotion duty.
 
@@ -376,7 +395,8 @@
         release_s = clock.now() - started_at
         # Until then, the previous holder of the duty may request promotions.
         await self._await_promotion_right()
-        chosen, term = await self._choose_primary(leadership, orderly)
+        choice = await self._choose_primary(leadership, orderly)
+        chosen, term = choice.target, choice.term
         if chosen is None:
             raise exceptions.NotRunError(
                 f"no target of {leadership.group} can become the primary"
@@ -389,7 +409,7 @@
             leadership = await self._store_leadership(
                 successor, leadership.revision, publish=False
             )
-            term = await self._promote(leadership, chosen, term)
+            term = await self._promote(leadership, choice)
         completed = attrs.evolve(
             leadership,
             target=chosen,
@@ -483,10 +503,7 @@
 
         Returns
         -------
-        chosen : str or None
-            Name of the target; None if no target qualifies.
-        term : int
-            Latest term that any target of the group reports.
+        _Choice
         """
         fleet = self._fleet
         started_at = clock.now()
@@ -513,8 +530,14 @@
             else:
                 excluded.add(leadership.target)
                 chosen = failoverrules.choose_successor(reports, excluded)
+            choice = _Choice(
+                chosen,
+                max(term, led_term),
+                chosen != leadership.target
+                and failoverrules.leads_later_term(reports, chosen, led_term),
+            )
             if chosen is None or not orderly:
-                return chosen, term
+                return choice
             # Other instances gossip the position of an old primary that this
             # instance cannot reach.
             old_position = (
@@ -536,10 +559,10 @@
                     caught_up=caught_up,
                 )
                 if caught_up or old is None or old.leaving:
-                    return chosen, term
+                    return choice
                 # Losing acknowledged writes is worse than leaving some
                 # callers without a reachable primary.
-                return leadership.target, term
+                return attrs.evolve(choice, target=leadership.target)
             await clock.pause(POLL_INTERVAL_S)
 
     def _known_term(self, leadership):
@@ -650,9 +673,20 @@
                 )
             await clock.pause(POLL_INTERVAL_S)
 
-    async def _promote(self, leadership, chosen, term):
+    async def _promote(self, leadership, choice):
         """Have the platform promote a target, and wait until it leads.
 
+        A target that was the primary before may take itself for it, so it
+        leads once it reports a later term, or still takes itself for the
+        primary when a promotion would have taken effect.
+
+        Parameters
+        ----------
+        leadership : Leadership
+            The announced change.
+        choice : _Choice
+            The target to promote.
+
         Returns
         -------
         int
@@ -664,6 +698,7 @@
             If the target does not lead in time.
         """
         fleet = self._fleet
+        chosen = choice.target
         await self._await_promotion_right()
         self._requested_at = fleet.dependencies.boot_time()
         event(
@@ -684,13 +719,18 @@
         )
         until = clock.now() + TAKEOVER_TIMEOUT_S
         target = fleet.directory.targets[chosen]
-        while clock.now() < until:
+        settled = False
+        while not settled:
+            settled = clock.now() >= until
             reports = await self.query_reports([target])
             report = reports.get(chosen)
             leads = report is not None and (
                 report.role is routes.TargetRole.PRIMARY
             )
-            if leads and report.term >= term:
+            least_term = choice.term
+            if not choice.already_leads and not settled:
+                least_term += 1
+            if leads and report.term >= least_term:
                 return report.term
             await clock.pause(POLL_INTERVAL_S)
         raise exceptions.NotRunError(f"{chosen} is not the primary yet")
--- a/balsamhinge/policy/failoverrules.py
+++ b/balsamhinge/policy/failoverrules.py
@@ -14,6 +14,7 @@
     "decide_action",
     "find_newer_leader",
     "is_unresponsive_to_most",
+    "leads_later_term",
 ]
 
 # A primary that has not answered the duty holder for longer is replaced.
@@ -158,6 +159,26 @@
     }
 
 
+def leads_later_term(reports, name, term):
+    """Return whether a target leads in a later term than a given one.
+
+    Parameters
+    ----------
+    reports : dict of str to TargetReport
+        Reports of the targets that answered, by name.
+    name : str or None
+        The target.
+    term : int
+        The earlier term; 0 if it is not known.
+    """
+    report = reports.get(name)
+    return (
+        report is not None
+        and report.role is routes.TargetRole.PRIMARY
+        and report.term > term > 0
+    )
+
+
 def find_newer_leader(reports, recorded, term):
     """Return another target that leads in a later term than the recorded one.
 
--- a/tests/controllers/test_failover.py
+++ b/tests/controllers/test_failover.py
@@ -87,6 +87,30 @@
 
         self.run_fleet(scenario)
 
+    # Guards against commits in an earlier term by an old primary that is
+    # promoted again, between the request and its effect.
+    def test_a_reinstated_primary_is_used_in_its_new_term_only(self):
+        async def scenario(world):
+            old = world.group.primary
+            # It does not hear of the new primary.
+            old.knobs.lonely = True
+            await self.provoke_promotion(world)
+            world.group.promote_s = 0.6
+            while world.group.primary is old:
+                await asyncio.sleep(0.01)
+            replaced_at = asyncio.get_running_loop().time()
+            for target in world.group.targets.values():
+                target.knobs.dark = target is not old
+            await self.write_for(world, 6.0)
+            terms = {
+                position.term
+                for at, _request_id, position in world.acknowledged
+                if at > replaced_at
+            }
+            self.assertEqual({3}, terms)
+
+        self.run_fleet(scenario)
+
     # Guards against a holder that spends its processor on instances that do
     # not answer: 16 calls a second to each of them, for every group.
     def test_an_unreachable_instance_gets_one_call_at_a_time(self):
--- a/tests/policy/test_failoverrules.py
+++ b/tests/policy/test_failoverrules.py
@@ -96,3 +96,16 @@
         reports = {"a": report(9), "b": report(4, term=2, written_in=2)}
         self.assertEqual({"a"}, failoverrules.find_incomplete(reports, 2))
         self.assertEqual(set(), failoverrules.find_incomplete(reports, 1))
+
+    def test_a_target_leads_a_later_term_than_a_known_one_only(self):
+        reports = {"a": report(9, Role.PRIMARY, 2), "b": report(9, term=2)}
+        for expected, name, term in (
+            (True, "a", 1),
+            (False, "a", 2),
+            (False, "a", 0),
+            (False, "b", 1),
+            (False, "c", 1),
+            (False, None, 1),
+        ):
+            leads = failoverrules.leads_later_term(reports, name, term)
+            self.assertIs(expected, leads, (name, term))
