Ask targets for their status however slow they were

Cause: an internal query is refused at once if the target's mean time to answer exceeds the query's 0.4 s, and none of the pool's connections is idle. Nothing corrects that mean while no query is sent.

Change: the query for a status before and during a change of the primary, and the order to step down, are sent without that estimate. Probes of a primary, and statements of callers, are refused as before.

Result: test_targets_that_were_slow_are_asked_for_their_status fails on the code before (no primary after 6 s) and passes.

--- a/balsamhinge/controllers/failover.py
+++ b/balsamhinge/controllers/failover.py
@@ -640,7 +640,9 @@
 
         async def query(target):
             try:
-                return await self._fleet.status(target, STATUS_TIMEOUT_S)
+                return await self._fleet.status(
+                    target, STATUS_TIMEOUT_S, admitted=True
+                )
             except exceptions.BalsamhingeError as exc:
                 event(
                     log.info,
@@ -742,7 +744,9 @@
             return
         order = statements.Order(statements.StepDown(term))
         try:
-            await self._fleet.query_target(target, order, STATUS_TIMEOUT_S)
+            await self._fleet.query_target(
+                target, order, STATUS_TIMEOUT_S, admitted=True
+            )
         except exceptions.BalsamhingeError as exc:
             event(log.info, "step_down_failed", target=name, error=exc)
 
--- a/balsamhinge/fleet.py
+++ b/balsamhinge/fleet.py
@@ -501,7 +501,13 @@
         return silences_s
 
     async def query_target(
-        self, target, order, timeout_s, leadership=None, direct=True
+        self,
+        target,
+        order,
+        timeout_s,
+        leadership=None,
+        direct=True,
+        admitted=False,
     ):
         """Execute an internal statement, not one of a caller, on a target.
 
@@ -519,6 +525,9 @@
             Whether to use a connection of this instance, never a borrowed
             one, so that the answer also shows whether this instance
             reaches the target.
+        admitted : bool
+            Whether to ask on a connection of this instance even if the
+            target has taken longer to answer lately.
 
         Raises
         ------
@@ -530,7 +539,7 @@
         deadline = clock.now() + timeout_s
         if direct:
             pool = self.target_pools.pool(target)
-            lent = await pool.borrow(deadline)
+            lent = await pool.borrow(deadline, admitted=admitted)
             conn = connections.LocalConnection(self, pool, lent)
             if leadership is not None and self.leaders.is_valid(leadership):
                 self.leaders.begin_work(leadership)
@@ -547,11 +556,18 @@
         conn.release()
         return answer
 
-    async def status(self, target, timeout_s, leadership=None, direct=True):
+    async def status(
+        self,
+        target,
+        timeout_s,
+        leadership=None,
+        direct=True,
+        admitted=False,
+    ):
         """Query the `TargetReport` of a target; see `query_target`."""
         order = statements.Order(statements.Status())
         answer = await self.query_target(
-            target, order, timeout_s, leadership, direct
+            target, order, timeout_s, leadership, direct, admitted
         )
         report = self.dependencies.targets.status(answer)
         if report is None:
--- a/tests/controllers/test_failover.py
+++ b/tests/controllers/test_failover.py
@@ -64,6 +64,24 @@
 
         self.run_fleet(scenario)
 
+    # Guards against a group that stays without a primary since the targets
+    # were slow before, and statements of callers hold their connections.
+    def test_targets_that_were_slow_are_asked_for_their_status(self):
+        async def scenario(world):
+            old = world.group.primary
+            holder = world.holder()
+            for name, target in world.group.targets.items():
+                if target is old:
+                    continue
+                pool = holder.target_pools.pool(holder.directory.targets[name])
+                await pool.borrow(asyncio.get_running_loop().time() + 1.0)
+                holder.health.of(name).mean_response_s = 5.0
+            old.knobs.dark = True
+            await asyncio.sleep(6.0)
+            self.assertIsNot(old, world.group.primary)
+
+        self.run_fleet(scenario)
+
     # Guards against commits that are lost because a target that has been cut
     # off since before them is promoted while no other one answers.
     def test_a_target_without_the_latest_commits_is_not_promoted(self):
