--- a/tests/platform/configurationsoak.py
+++ b/tests/platform/configurationsoak.py
@@ -189,6 +189,9 @@
 class AddressTranslation:
     """Lets an instance reach the others through their relays.
 
+    An address that is split between two chunks passes untranslated; the
+    instance then reaches that one directly until it reads the next list.
+
     Parameters
     ----------
     hosts : list of str
--- a/tests/platform/test_configurationsoak.py
+++ b/tests/platform/test_configurationsoak.py
@@ -80,20 +80,24 @@
         self.assertEqual("", self.judge_probe(MOVED_AT + 2.0, "old"))
         self.assertIn("older again", self.judge_probe(MOVED_AT + 2.2, "old"))
 
+    # Guards against a soak that is red where a process is restarted.
     def test_another_process_may_have_an_older_version(self):
         self.assertEqual("", self.judge_probe(MOVED_AT + 0.1, "new"))
         second = stopfleet.Incarnation("front-1", None, MOVED_AT + 0.2)
         self.assertEqual("", self.judge_probe(MOVED_AT + 1.0, "old", second))
 
+    # Guards against a soak that judges too early, or nothing, after a fault.
     def test_the_bound_applies_again_after_a_fault(self):
         self.disturb("front-1", ADDED_AT, ADDED_AT + 10.0)
         self.assertEqual("", self.judge_probe(ADDED_AT + 13.9, None))
         self.assertIn("late", self.judge_probe(ADDED_AT + 14.1, None))
 
+    # Guards against a soak in which one fault hides delays elsewhere.
     def test_a_fault_of_another_instance_suspends_nothing(self):
         self.disturb("front-2", ADDED_AT, ADDED_AT + 10.0)
         self.assertIn("late", self.judge_probe(ADDED_AT + 3.1, None))
 
+    # Guards against a soak that is red while the store is down.
     def test_a_fault_of_the_store_suspends_the_bound(self):
         self.disturb("", ADDED_AT, ADDED_AT + 10.0)
         self.assertEqual("", self.judge_probe(ADDED_AT + 13.9, None))
@@ -106,6 +110,8 @@
         self.assertEqual("", self.judge_probe(ADDED_AT + 14.9, None))
         self.assertIn("late", self.judge_probe(ADDED_AT + 15.1, None))
 
+    # Guards against a soak that is red where an instance stands still
+    # beside refusals of the store.
     def test_a_second_fault_suspends_the_longer_bound(self):
         self.disturb("front-2", ADDED_AT, ADDED_AT + 30.0, "unavailable")
         self.disturb("front-1", ADDED_AT, ADDED_AT + 30.0, "freeze")
