Show that a draining replica's commits are lost in a failover

Cause: a change of a primary leaves out the targets that drain, though they count toward sync_replicas and may alone hold acknowledged commits.

Nothing of the product is changed.

--- a/review/second/world.py
+++ b/review/second/world.py
@@ -553,14 +553,18 @@
             asyncio.ensure_future(self._beat(b)) for b in self.backends
         ]
 
-    async def add(self, name, zone):
+    async def add(self, name, zone, port=0, log=()):
         """Start another replica, which gets the log; return it."""
         first = self.backends[0]
         backend = Backend(self, name, zone, first.slots, first.queue)
+        backend.port = port
+        backend.log = list(log)
+        backend.applied = len(backend.log)
         await backend.start()
         self.backends.append(backend)
         self.report(backend)
-        self.replicate(self.primary)
+        if self.primary is not None:
+            self.replicate(self.primary)
         self._tasks.append(asyncio.ensure_future(self._beat(backend)))
         return backend
 
