Promote only a target that holds all acknowledged commits

Cause: a failover compared the logs of the targets that may become the primary and that answered at once. It did not ask which targets may hold what was acknowledged, so one that is about to stop, is busy, or has ended and comes back with its log counted for nothing. The number of synchronous replicas was not decoded at all.

Change: policy/acknowledgements.py bounds what may have been acknowledged by the answers of targets, and by what instances have acknowledged to callers once all have confirmed the release. controllers/successors.py, split off from controllers/failover.py, promotes a target that covers this bound, also one that is about to stop, or asks again. A switchover goes by the same bound. Groups without synchronous replicas are changed as before.

Ruled out: PAUSE of replicas before they are compared; no instance passes an acknowledgement on after the release, so the logs that matter stand still.

--- a/balsamhinge/controllers/failover.py
+++ b/balsamhinge/controllers/failover.py
@@ -1,6 +1,5 @@
 """Changes the primaries of groups while holding the promotion duty."""
 
-import asyncio
 import collections
 
 import attrs
@@ -8,12 +7,12 @@
 
 from balsamhinge.controllers import clock
 from balsamhinge.controllers import storedrecords
+from balsamhinge.controllers import successors
 from balsamhinge import exceptions
 from balsamhinge import interfaces
 from balsamhinge.logs import event
 from balsamhinge.policy import failoverrules
 from balsamhinge.policy import leases
-from balsamhinge.policy import positions
 from balsamhinge.policy import registrations
 from balsamhinge.policy import revisions
 from balsamhinge.policy import routes
@@ -24,15 +23,10 @@
 CHECK_INTERVAL_S = 0.1
 # Interval of the check whether this instance has acquired the duty.
 IDLE_CHECK_INTERVAL_S = 0.25
-# A reachable target answers a status query within this time.
-STATUS_TIMEOUT_S = 0.4
 POLL_INTERVAL_S = 0.04
 # Interval between requests to instances to confirm that they have released
 # the old primary.
 CONFIRM_INTERVAL_S = 0.06
-# Time for a replica to receive the log of the old primary: longer than the
-# usual replication lag, short against the callers' deadlines.
-CATCH_UP_TIMEOUT_S = 1.0
 # The platform answers within milliseconds. A call must be over before the
 # next holder of the duty may make one.
 PROMOTE_CALL_TIMEOUT_S = 1.0
@@ -42,30 +36,14 @@
 # is detected without traffic.
 PROBE_AFTER_S = 0.3
 RETRY_DELAY_S = 0.25
+# Interval between switchovers from a primary that is about to stop while no
+# other target holds what it has acknowledged: callers use it meanwhile.
+SWITCH_RETRY_DELAY_S = 0.5
 EXPIRY_CHECK_INTERVAL_S = 1.0
 
 log = logbook.Logger(__name__)
 
 
-@attrs.frozen
-class _Choice:
-    """The target that becomes the primary of a group.
-
-    Parameters
-    ----------
-    target : str or None
-        Its name; None if no target qualifies.
-    term : int
-        Latest term of the group that is known.
-    already_leads : bool
-        Whether it leads in a later term than the recorded primary.
-    """
-
-    target: str | None
-    term: int
-    already_leads: bool
-
-
 class FailoverController:
     """Monitors every primary while this instance holds the promotion duty.
 
@@ -77,6 +55,7 @@
 
     def __init__(self, fleet):
         self._fleet = fleet
+        self.successors = successors.SuccessorChooser(fleet)
         self._busy_groups = set()
         # Loop seconds, by target.
         self._unlisted_since = {}
@@ -142,7 +121,7 @@
                 orderly = True
             case failoverrules.FailoverAction.REPLACE:
                 orderly = False
-        if not self._candidates(leadership):
+        if not self.successors.candidates(leadership, orderly):
             return
         event(
             log.warning,
@@ -253,15 +232,6 @@
             for heard_s, silent_s in self._primary_reports()
         )
 
-    def _candidates(self, leadership):
-        return [
-            target
-            for target in self._fleet.directory.active_targets(
-                leadership.group
-            )
-            if target.name != leadership.target
-        ]
-
     def _find_newer_primary(self, leadership):
         """Return another target that leads the group in a later term.
 
@@ -296,7 +266,9 @@
 
         async def probe():
             try:
-                await self._fleet.status(target, STATUS_TIMEOUT_S, leadership)
+                await self._fleet.status(
+                    target, successors.STATUS_TIMEOUT_S, leadership
+                )
             except exceptions.BalsamhingeError as exc:
                 event(log.debug, "probe_failed", target=target.name, error=exc)
             finally:
@@ -322,7 +294,7 @@
             while boot_time() < self._promotions_settle_at():
                 await clock.pause(POLL_INTERVAL_S)
         targets = self._fleet.directory.active_targets(group)
-        reports = await self.query_reports(targets)
+        reports = await self.successors.query_reports(targets)
         leading = [
             (report.term, name)
             for name, report in reports.items()
@@ -395,7 +367,12 @@
         release_s = clock.now() - started_at
         # Until then, the previous holder of the duty may request promotions.
         await self._await_promotion_right()
-        choice = await self._choose_primary(leadership, orderly)
+        choice = await self.successors.choose(
+            leadership,
+            orderly,
+            confirmed,
+            lambda: self._may_reinstate(leadership),
+        )
         chosen, term = choice.target, choice.term
         if chosen is None:
             raise exceptions.NotRunError(
@@ -435,6 +412,8 @@
         )
         if completed.target != leadership.target:
             fleet.spawn(self._step_down(leadership.target, term))
+        elif orderly and fleet.directory.targets[chosen].leaving:
+            await clock.pause(SWITCH_RETRY_DELAY_S)
 
     async def _await_releases(self, leadership, announced_at):
         """Wait until no instance uses the old primary.
@@ -498,119 +477,6 @@
             return False
         return message.left.get(leadership.group, 0) >= leadership.revision
 
-    async def _choose_primary(self, leadership, orderly):
-        """Choose the next primary of a group.
-
-        Returns
-        -------
-        _Choice
-        """
-        fleet = self._fleet
-        started_at = clock.now()
-        old = fleet.directory.targets.get(leadership.target)
-        led_term = self._known_term(leadership)
-        while True:
-            targets = self._candidates(leadership)
-            if old is not None:
-                targets = [*targets, old]
-            reports = await self.query_reports(targets)
-            term = max((r.term for r in reports.values()), default=0)
-            excluded = {target.name for target in targets if target.leaving}
-            excluded |= self._find_incomplete(leadership, reports, led_term)
-            old_report = reports.get(leadership.target)
-            eligible = old_report is not None and self._may_reinstate(
-                leadership
-            )
-            if eligible and not orderly and not old.leaving:
-                chosen = failoverrules.choose_successor(reports, excluded)
-                if old_report.term == term and (
-                    old_report.role is routes.TargetRole.PRIMARY
-                ):
-                    chosen = leadership.target
-            else:
-                excluded.add(leadership.target)
-                chosen = failoverrules.choose_successor(reports, excluded)
-            choice = _Choice(
-                chosen,
-                max(term, led_term),
-                chosen != leadership.target
-                and failoverrules.leads_later_term(reports, chosen, led_term),
-            )
-            if chosen is None or not orderly:
-                return choice
-            # Other instances gossip the position of an old primary that this
-            # instance cannot reach.
-            old_position = (
-                old_report.received
-                if old_report
-                else fleet.leaders.last_position(leadership)
-            )
-            caught_up = positions.covers(
-                reports[chosen].received, old_position
-            )
-            if caught_up or clock.now() - started_at > CATCH_UP_TIMEOUT_S:
-                event(
-                    log.notice,
-                    "successor_chosen",
-                    group=leadership.group,
-                    target=chosen,
-                    received=reports[chosen].received,
-                    old_received=old_position,
-                    caught_up=caught_up,
-                )
-                if caught_up or old is None or old.leaving:
-                    return choice
-                # Losing acknowledged writes is worse than leaving some
-                # callers without a reachable primary.
-                return attrs.evolve(choice, target=leadership.target)
-            await clock.pause(POLL_INTERVAL_S)
-
-    def _known_term(self, leadership):
-        """Return the latest term in which a primary is known to have led."""
-        fleet = self._fleet
-        return max(
-            fleet.leaders.last_position(leadership).term,
-            fleet.health.of(leadership.target).applied.term,
-        )
-
-    def _find_incomplete(self, leadership, reports, term):
-        """Return targets that lack what another one may still hold.
-
-        A target that was cut off when its group got a new primary has none
-        of the commits since. Where no target that is listed can hold them,
-        any may become the primary.
-
-        Parameters
-        ----------
-        leadership : Leadership
-            The current record.
-        reports : dict of str to TargetReport
-            Reports of the targets that answered, by name.
-        term : int
-            Latest term in which the primary is known to have led.
-
-        Returns
-        -------
-        set of str
-        """
-        incomplete = failoverrules.find_incomplete(reports, term)
-        listed = {
-            target.name
-            for target in self._fleet.directory.targets.values()
-            if target.group == leadership.group
-        }
-        if not incomplete or listed <= incomplete:
-            return set()
-        event(
-            log.warning,
-            "targets_incomplete",
-            group=leadership.group,
-            targets=",".join(sorted(incomplete)),
-            term=term,
-            unheard=",".join(sorted(listed - reports.keys())),
-        )
-        return incomplete
-
     def _may_reinstate(self, leadership):
         """Return whether the old primary may be chosen again.
 
@@ -629,36 +495,6 @@
         )
         return requested_at + PROMOTE_CALL_TIMEOUT_S + TAKEOVER_TIMEOUT_S
 
-    async def query_reports(self, targets):
-        """Query the status of targets concurrently.
-
-        Returns
-        -------
-        dict of str to TargetReport
-            Reports of the targets that answered, by name.
-        """
-
-        async def query(target):
-            try:
-                return await self._fleet.status(
-                    target, STATUS_TIMEOUT_S, admitted=True
-                )
-            except exceptions.BalsamhingeError as exc:
-                event(
-                    log.info,
-                    "target_status_failed",
-                    target=target.name,
-                    error=exc,
-                )
-                return None
-
-        reports = await asyncio.gather(*(query(t) for t in targets))
-        return {
-            target.name: report
-            for target, report in zip(targets, reports, strict=True)
-            if report is not None
-        }
-
     async def _await_promotion_right(self):
         """Wait until this instance may request promotions.
 
@@ -686,7 +522,7 @@
         ----------
         leadership : Leadership
             The announced change.
-        choice : _Choice
+        choice : PrimaryChoice
             The target to promote.
 
         Returns
@@ -724,7 +560,7 @@
         settled = False
         while not settled:
             settled = clock.now() >= until
-            reports = await self.query_reports([target])
+            reports = await self.successors.query_reports([target])
             report = reports.get(chosen)
             leads = report is not None and (
                 report.role is routes.TargetRole.PRIMARY
@@ -745,7 +581,7 @@
         order = statements.Order(statements.StepDown(term))
         try:
             await self._fleet.query_target(
-                target, order, STATUS_TIMEOUT_S, admitted=True
+                target, order, successors.STATUS_TIMEOUT_S, admitted=True
             )
         except exceptions.BalsamhingeError as exc:
             event(log.info, "step_down_failed", target=name, error=exc)
--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -375,8 +375,18 @@
                 1e9, registered.found_age_s(receiver, now)
             ),
             configuration_proof=fleet.customers.describe_proof(now),
+            acknowledged=self._acknowledged(),
         )
 
+    def _acknowledged(self):
+        """Return the latest acknowledged commits, by group."""
+        return {
+            name: self._fleet.leaders.acknowledged[name]
+            for name, limits in self._fleet.directory.table.groups.items()
+            if limits.synchronous_replicas
+            and name in self._fleet.leaders.acknowledged
+        }
+
     def _promise_of_all_s(self, receiver, now):
         """Return the seconds for which no other instance starts a change.
 
@@ -472,6 +482,8 @@
         self._merge_echoed_promise(message)
         for leadership in message.leaderships:
             self._fleet.leaders.merge_leadership(leadership, message.sender)
+        for group, position in message.acknowledged.items():
+            self._fleet.leaders.record_acknowledged(group, position)
         if message.members or message.removals:
             self._fleet.leaders.registrations.merge(
                 message.members,
--- a/balsamhinge/controllers/restoration.py
+++ b/balsamhinge/controllers/restoration.py
@@ -163,7 +163,7 @@
         """Return whether another target of a group leads a later term."""
         fleet = self._fleet
         leadership = fleet.leaders.latest(group)
-        reports = await fleet.failover.query_reports(
+        reports = await fleet.failover.successors.query_reports(
             fleet.directory.active_targets(group)
         )
         newer = failoverrules.find_newer_leader(
--- a/balsamhinge/platform/decoding.py
+++ b/balsamhinge/platform/decoding.py
@@ -34,6 +34,7 @@
 # No machine runs more statements at once.
 MAX_SLOTS = 65536
 MAX_CONNECTIONS = 1 << 31
+MAX_SYNCHRONOUS_REPLICAS = 1 << 31
 MAX_PRIORITY = 1 << 31
 TARGET_STATES = ("ready", "draining")
 
@@ -146,6 +147,7 @@
     return routes.GroupLimits(
         fields.word(item, "name"),
         fields.integer(item, "max_conns", 0, MAX_CONNECTIONS),
+        fields.integer(item, "sync_replicas", 0, MAX_SYNCHRONOUS_REPLICAS, 0),
     )
 
 
--- a/balsamhinge/platform/documents.py
+++ b/balsamhinge/platform/documents.py
@@ -26,7 +26,11 @@
     "priority": "priority",
     "public": "public",
 }
-GROUP_FIELDS = {"group": "name", "connections": "max_conns"}
+GROUP_FIELDS = {
+    "group": "name",
+    "connections": "max_conns",
+    "synchronous_replicas": "sync_replicas",
+}
 CUSTOMER_FIELDS = {
     "name": "name",
     "key_digests": "api_keys",
@@ -61,6 +65,7 @@
 
     name: str
     max_conns: int
+    sync_replicas: int | None = None
 
 
 class CustomerSpec(msgspec.Struct):
@@ -233,7 +238,9 @@
         if spec is None:
             return None
         self._check_word(spec.name, f"{path}.name", shown=spec.name)
-        limits = routes.GroupLimits(spec.name, spec.max_conns)
+        limits = routes.GroupLimits(
+            spec.name, spec.max_conns, spec.sync_replicas or 0
+        )
         return Entry(limits, self._prefix + path, GROUP_FIELDS)
 
     def _read_customer(self, item, path):
--- /dev/null
+++ b/balsamhinge/policy/acknowledgements.py
@@ -0,0 +1,87 @@
+"""Which commits a group may have acknowledged, and which logs hold them."""
+
+import attrs
+
+from balsamhinge.policy import positions
+
+__all__ = ["AcknowledgementEvidence"]
+
+
+@attrs.frozen
+class AcknowledgementEvidence:
+    """What is known of a group's acknowledged commits in a primary change.
+
+    A primary acknowledges a commit once `synchronous_replicas` replicas have
+    received it, so any set of replicas that leaves out fewer than that
+    holds every acknowledged commit.
+
+    Parameters
+    ----------
+    synchronous_replicas : int
+        Replicas that have received a commit when it is acknowledged.
+    primary : str
+        Name of the old primary.
+    replicas : frozenset of str
+        Names of the other targets that are listed, those about to stop
+        included: they receive and count until they end.
+    reports : dict of str to TargetReport
+        Reports of the targets that answered, by name.
+    told : LogPosition
+        Latest acknowledged commit that an instance has told of.
+    all_told : bool
+        Whether all instances that may have passed on an acknowledgement
+        have told of theirs, and pass on no more.
+    """
+
+    synchronous_replicas: int
+    primary: str
+    replicas: frozenset[str]
+    reports: dict
+    told: positions.LogPosition
+    all_told: bool
+
+    @property
+    def unheard(self):
+        """Names of the replicas without a report, sorted."""
+        return sorted(self.replicas - self.reports.keys())
+
+    def upper_bound(self):
+        """Return a position that no acknowledged commit lies beyond.
+
+        Returns
+        -------
+        LogPosition or None
+            None if some commit may be known only to targets and instances
+            that have not been heard.
+        """
+        bounds = []
+        if self.all_told:
+            bounds.append(self.told)
+        if self.primary in self.reports:
+            bounds.append(self.reports[self.primary].received)
+        if len(self.unheard) < self.synchronous_replicas:
+            received = [
+                self.reports[name].received
+                for name in self.replicas & self.reports.keys()
+            ]
+            bounds.append(positions.highest(received))
+        return min(bounds, default=None)
+
+    def holds_all(self, name):
+        """Return whether a target's log holds every acknowledged commit.
+
+        A target that is no longer listed may hold more than all that are,
+        so the log must hold what instances have told of as well.
+
+        Parameters
+        ----------
+        name : str
+            A target that has reported.
+        """
+        bound = self.upper_bound()
+        if bound is None:
+            return False
+        received = self.reports[name].received
+        return positions.covers(received, bound) and positions.covers(
+            received, self.told
+        )
--- a/balsamhinge/policy/gossipmessages.py
+++ b/balsamhinge/policy/gossipmessages.py
@@ -179,6 +179,9 @@
     receiver_found_age_s : float
         Age in seconds of the latest read of the store that the sender knows
         to have found the receiver's registration.
+    acknowledged : dict of str to LogPosition
+        By group with synchronous replicas, the latest acknowledged commit
+        that the sender knows of.
     configuration_proof : ConfigurationProof or None
         How long ago the sender's configuration is known to have been
         current; None if the sender has no valid lease or needs none.
@@ -214,3 +217,4 @@
     members_age_s: float = 1e9
     receiver_found_age_s: float = 1e9
     configuration_proof: configurationlease.ConfigurationProof | None = None
+    acknowledged: dict[str, positions.LogPosition] = attrs.Factory(dict)
--- a/balsamhinge/policy/routes.py
+++ b/balsamhinge/policy/routes.py
@@ -65,10 +65,21 @@
 
 @attrs.frozen
 class GroupLimits:
-    """Number of connections that each target of a group accepts."""
+    """Limits and guarantees of a group's targets.
+
+    Parameters
+    ----------
+    group : str
+        The group.
+    connections : int
+        Number of connections that each target accepts.
+    synchronous_replicas : int
+        Replicas that have received a commit when it is acknowledged.
+    """
 
     group: str
     connections: int
+    synchronous_replicas: int = 0
 
 
 @attrs.frozen
--- a/balsamhinge/sessions/session.py
+++ b/balsamhinge/sessions/session.py
@@ -545,6 +545,9 @@
                 "the group may have another primary"
             )
         if answer.position is not None:
+            # Told to others with the release of the primary, so before the
+            # caller learns that the commit has been made.
+            leaders.record_acknowledged(conn.leadership.group, answer.position)
             self._committed_position = max(
                 self._committed_position, answer.position
             )
--- a/balsamhinge/standins/replicas.py
+++ b/balsamhinge/standins/replicas.py
@@ -95,6 +95,8 @@
         How many of the next statements run without an answer.
     full : bool
         Whether it turns all work away.
+    status_full : bool
+        Whether it turns status queries away.
     """
 
     work_s: float = 0.005
@@ -105,6 +107,7 @@
     cut: set = attrs.Factory(set)
     lose_answers: int = 0
     full: bool = False
+    status_full: bool = False
 
 
 class ReplicaTarget:
@@ -189,10 +192,25 @@
 
 
 class ReplicaGroup:
-    """Targets that share a log; the first one leads."""
+    """Targets that share a log; the first one leads.
 
-    def __init__(self, name, data_centres, slots=3, most=23):
+    Parameters
+    ----------
+    name : str
+        Name of the group.
+    data_centres : iterable of str
+        One for each target.
+    slots, most : int
+        Statements that a target runs at once, and its most connections.
+    synchronous_replicas : int
+        Replicas that have received a commit when it is acknowledged.
+    """
+
+    def __init__(
+        self, name, data_centres, slots=3, most=23, synchronous_replicas=0
+    ):
         self.name = name
+        self.synchronous_replicas = synchronous_replicas
         self.targets = {}
         self.runs = []
         # Seconds from the call until a promotion takes effect.
@@ -229,6 +247,15 @@
                 if target.term <= primary.term:
                     target.follow(primary)
 
+    async def wait_received(self, position):
+        """Wait until enough replicas have received a commit."""
+        while self.synchronous_replicas > sum(
+            target.role is Role.REPLICA
+            and positions.covers(target.received, position)
+            for target in self.targets.values()
+        ):
+            await asyncio.sleep(RECEIVE_S)
+
     def ask_promotion(self, name):
         """Have a target made the primary a little later.
 
@@ -343,6 +370,8 @@
             case statements.Reset():
                 self._values, self._prepared = {}, {}
             case statements.Status():
+                if target.knobs.status_full:
+                    return Problem.BUSY
                 return self._status()
             case statements.StepDown(term):
                 lower = target.term < term
@@ -426,7 +455,8 @@
             if self._transaction:
                 self._writes.append((item, data))
             else:
-                target.append([(item, data)], order.request_id)
+                position = target.append([(item, data)], order.request_id)
+                await target.group.wait_received(position)
             return Answer(signature="s")
 
     async def _commit(self, order):
@@ -437,7 +467,8 @@
                 return Problem.READ_ONLY
             self._record("commit", order)
             if self._writes:
-                target.append(self._writes, order.request_id)
+                position = target.append(self._writes, order.request_id)
+                await target.group.wait_received(position)
             self._end()
             return Answer(signature="s")
 
--- a/tests/controllers/test_failover.py
+++ b/tests/controllers/test_failover.py
@@ -11,19 +11,6 @@
 class PromotionTest(virtual.FleetTestCase):
     """A requested promotion may take effect late, or never."""
 
-    async def write_for(self, world, seconds):
-        """Write through every instance for some seconds."""
-        loop = asyncio.get_running_loop()
-        until = loop.time() + seconds
-
-        async def write(name):
-            caller = world.caller(name, "posts")
-            while loop.time() < until and name in world.fleets:
-                await caller.write(f"item-{name}", f"{loop.time():.3f}")
-                await asyncio.sleep(0.02)
-
-        await asyncio.gather(*(write(name) for name in world.fleets))
-
     async def provoke_promotion(self, world):
         """Silence the primary until the promotion of another is requested."""
         world.group.primary.knobs.dark = True
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -85,6 +85,14 @@
             table.idle_transaction_s,
         )
 
+    # Guards against commits that are lost in a failover of a synchronous
+    # group, as it counts as an asynchronous one.
+    def test_synchronous_replicas_are_read(self):
+        self.spec["services"][0]["sync_replicas"] = 1
+        table = decoding.routing_table("main", self.spec)
+        (limits,) = table.groups.values()
+        self.assertEqual(1, limits.synchronous_replicas)
+
     def test_invalid_configuration_is_none(self):
         for spec in (None, [], {}, {"routes": 1}, {"routes": []}):
             self.assertIsNone(decoding.routing_table("main", spec))
@@ -111,6 +119,7 @@
             ("routes", route, "priority", (*ODD_NUMBERS[:4], HUGE, 1.5)),
             ("services", service, "name", ODD_WORDS),
             ("services", service, "max_conns", (*ODD_NUMBERS, 1.5)),
+            ("services", service, "sync_replicas", (*ODD_NUMBERS, 1.5)),
         ):
             for odd in odds:
                 spec = self.spec | {
@@ -163,6 +172,7 @@
                 "rate_per_s",
                 "route_type",
                 "service_name",
+                "sync_replicas",
                 "timeout_ms",
                 "tx_idle_ms",
             ]
--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -16,6 +16,7 @@
     "WRONGNODE",
     "service_name",
     "max_conns",
+    "sync_replicas",
     "db_role",
     "seq_no",
     "cold_left_ms",
--- /dev/null
+++ b/tests/policy/test_acknowledgements.py
@@ -0,0 +1,94 @@
+"""Tests of which logs hold every acknowledged commit."""
+
+import testtools
+
+from balsamhinge import interfaces
+from balsamhinge.policy import acknowledgements
+from balsamhinge.policy import positions
+from balsamhinge.policy import routes
+
+__all__ = ["AcknowledgementEvidenceTest"]
+
+OLD = "target-1"
+FIRST = "target-2"
+SECOND = "target-3"
+
+
+def position(offset, term=1):
+    """Return a log position, of the first term unless stated."""
+    return positions.LogPosition(term, offset)
+
+
+def make_evidence(received, told=0, all_told=False, synchronous_replicas=1):
+    """Return the evidence of a group with two replicas.
+
+    Parameters
+    ----------
+    received : dict of str to int
+        Last entry received, by target that answers.
+    told : int
+        Latest acknowledged entry that an instance has told of.
+    """
+    reports = {
+        name: interfaces.TargetReport(
+            routes.TargetRole.REPLICA, 1, position(offset), position(offset)
+        )
+        for name, offset in received.items()
+    }
+    return acknowledgements.AcknowledgementEvidence(
+        synchronous_replicas=synchronous_replicas,
+        primary=OLD,
+        replicas=frozenset((FIRST, SECOND)),
+        reports=reports,
+        told=position(told),
+        all_told=all_told,
+    )
+
+
+class AcknowledgementEvidenceTest(testtools.TestCase):
+    """A log holds all commits that may have been acknowledged."""
+
+    def test_all_replicas_together_hold_each_commit(self):
+        evidence = make_evidence({FIRST: 9, SECOND: 7}, told=5)
+        self.assertTrue(evidence.holds_all(FIRST))
+        self.assertFalse(evidence.holds_all(SECOND))
+
+    # Guards against the loss of commits that only a replica without an answer
+    # has received.
+    def test_a_replica_without_an_answer_may_hold_more(self):
+        evidence = make_evidence({FIRST: 9}, told=5)
+        self.assertIsNone(evidence.upper_bound())
+        self.assertEqual([SECOND], evidence.unheard)
+        self.assertFalse(evidence.holds_all(FIRST))
+
+    def test_one_answer_suffices_if_all_replicas_receive_each_commit(self):
+        evidence = make_evidence({SECOND: 7}, told=5, synchronous_replicas=2)
+        self.assertTrue(evidence.holds_all(SECOND))
+
+    def test_the_old_primary_holds_each_commit(self):
+        evidence = make_evidence({OLD: 9, FIRST: 9})
+        self.assertTrue(evidence.holds_all(FIRST))
+        self.assertFalse(
+            make_evidence({OLD: 9, FIRST: 8}).holds_all(FIRST),
+        )
+
+    # Guards against a group without a primary, although all instances have
+    # told what they have acknowledged.
+    def test_what_all_instances_told_suffices(self):
+        evidence = make_evidence({FIRST: 9}, told=9, all_told=True)
+        self.assertTrue(evidence.holds_all(FIRST))
+
+    # Guards against the loss of commits that a target has received which has
+    # ended, and whose log is yet to come back.
+    def test_no_listed_target_may_hold_what_was_told(self):
+        evidence = make_evidence({FIRST: 9, SECOND: 9}, told=12)
+        self.assertFalse(evidence.holds_all(FIRST))
+
+    def test_a_log_of_a_later_term_holds_the_earlier_ones(self):
+        evidence = make_evidence({FIRST: 9, SECOND: 7}, told=9)
+        later = interfaces.TargetReport(
+            routes.TargetRole.REPLICA, 2, position(10, 2), position(10, 2)
+        )
+        evidence.reports[SECOND] = later
+        self.assertTrue(evidence.holds_all(SECOND))
+        self.assertFalse(evidence.holds_all(FIRST))
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -208,6 +208,8 @@
         Most connections to each target.
     link_rate : float
         Bytes a second of each instance's link; 0 for no limit.
+    synchronous_replicas : int
+        Replicas that have received a commit when it is acknowledged.
     customers : iterable of Customer
         Customers of the first configuration; tests change the dict
         `FleetWorld.customers`, and configure.
@@ -223,6 +225,7 @@
         groups=1,
         connections=23,
         link_rate=0.0,
+        synchronous_replicas=0,
         customers=(),
         customer_settings=customers_module.CustomerSettings(),
         target_settings=loans.TargetSettings(),
@@ -248,7 +251,10 @@
         for number in range(1, groups + 1):
             name = f"ladder-{number}"
             self.groups[name] = replicas.ReplicaGroup(
-                name, CENTRES, most=connections
+                name,
+                CENTRES,
+                most=connections,
+                synchronous_replicas=synchronous_replicas,
             )
         self.members = [
             ownership.Member(f"{centre}-{n}", f"10.{zone}.0.{n}:1", centre)
@@ -281,8 +287,10 @@
             )
             found[database] = attrs.evolve(route, **changes)
         limits = {
-            name: routes.GroupLimits(name, self.connections)
-            for name in self.groups
+            name: routes.GroupLimits(
+                name, self.connections, group.synchronous_replicas
+            )
+            for name, group in self.groups.items()
         }
         return routes.RoutingTable(
             self.version, found, limits, 3.0, dict(self.customers)
--- a/tests/support/virtual.py
+++ b/tests/support/virtual.py
@@ -49,6 +49,19 @@
             world.run_virtual(run())
         self.assertEqual([], ended.lines)
 
+    async def write_for(self, world, seconds):
+        """Write through every instance for some seconds."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+
+        async def write(name):
+            caller = world.caller(name, "posts")
+            while loop.time() < until and name in world.fleets:
+                await caller.write(f"item-{name}", f"{loop.time():.3f}")
+                await asyncio.sleep(0.02)
+
+        await asyncio.gather(*(write(name) for name in world.fleets))
+
     def assert_nothing_lost(self, world):
         """Check that the primary has each write that was acknowledged."""
         kept = {entry.request_id for entry in world.group.primary.log}
--- a/tests/test_encodings.py
+++ b/tests/test_encodings.py
@@ -47,7 +47,7 @@
 NO_WORKLOAD = {"customer": "", "priority": 0, "customer_priority": 0}
 # Fields that the examples lack, as a later release has added them, and the
 # values that stand for a sender which does not know them. A path leads through
-# fields and through each entry of a list, for which "*" stands.
+# fields and through each entry of a list or a dict, for which "*" stands.
 ADDED_FIELDS = {
     "borrow_request": {
         "workload": NO_WORKLOAD,
@@ -74,11 +74,14 @@
         "table_change.customers": {},
         "table_change.removed_customers": [],
         "table_change.changed.*.public": False,
+        "table_change.groups.*.synchronous_replicas": 0,
+        "acknowledged": {},
     },
     "routing_change": {
         "customers": {},
         "removed_customers": [],
         "changed.*.public": False,
+        "groups.*.synchronous_replicas": 0,
     },
 }
 RECORD_TYPES = {
@@ -94,7 +97,9 @@
     name, _, rest = path.partition(".")
     if not rest:
         return [message.pop(name)]
-    inner = message if name == "*" else [message[name]]
+    inner = [message[name]] if name != "*" else message
+    if isinstance(inner, dict):
+        inner = inner.values()
     return [value for one in inner for value in pop_added(one, rest)]
 
 
