Relinquish the promotion duty where the store turns its holder away

Cause: the duty passed on from a holder that is silent or stops. One that answers gossip kept it, although it cannot act without the store.

Change: a holder relinquishes the duty once three reads of the store have failed, each begun after another instance was served. It never acts under that record again, so its successor may act at once, as after a stop.

Ruled out: a challenge by the others, which takes 5 s longer and writes to the store after each outage; a heartbeat in the store.

--- a/balsamhinge/controllers/duty.py
+++ b/balsamhinge/controllers/duty.py
@@ -10,7 +10,6 @@
 from balsamhinge import interfaces
 from balsamhinge.logs import event
 from balsamhinge.policy import leases
-from balsamhinge.policy import ownership
 from balsamhinge.policy import revisions
 
 __all__ = ["DutyController"]
@@ -33,10 +32,6 @@
 # Time for which a read that shows this instance as the holder permits it to
 # call the platform.
 ENTITLEMENT_S = 1.5
-# Time for which the instance that held the duty before a restore of the
-# store may acquire it anew undisturbed, and the delay that each rank adds.
-REACQUIRE_DELAY_S = 1.0
-REACQUIRE_DELAY_PER_RANK_S = 0.3
 # Delay after which a new holder may call the platform: the previous holder
 # is no longer entitled, and its last call has timed out.
 HANDOVER_DELAY_S = 3.0
@@ -45,20 +40,15 @@
 # must show a successor's record.
 MAX_HANDED_OVER_AGE_S = HANDOVER_DELAY_S - ENTITLEMENT_S
 RETRY_DELAY_S = 0.2
-# An instance needs three gossip rounds after its start before it can tell
-# which instances are silent.
-STARTUP_S = 1.5
-# Gossip rounds with all instances before a silent holder is replaced.
-MIN_FULL_ROUNDS = 2
-# Instances that are contacted before the duty of a silent holder is
-# acquired. An instance that reaches half of them or fewer is more likely
-# to be isolated than the holder.
-SURVEY_INSTANCES = 16
-# Such an instance challenges the holder in the store. A holder that reaches
-# the store reads it several times before the challenge has succeeded.
+# Reads of the store in succession that fail at the holder, each begun after
+# another instance was served, before it relinquishes the duty: it has lost the
+# store alone. A single answer may be lost.
+MIN_FAILED_READS = 3
+# An instance that cannot tell whether it or the holder is isolated challenges
+# the holder in the store. A holder that reaches the store reads it several
+# times before the challenge has succeeded.
 CHALLENGE_TIMEOUT_S = 1.8
 CHALLENGE_POLL_INTERVAL_S = 0.6
-SURVEY_RETRY_DELAY_S = 0.5
 
 log = logbook.Logger(__name__)
 
@@ -88,6 +78,9 @@
         Boot-clock seconds from which this instance may request promotions.
     holder_before_restore : str
         Latest known holder before the store was last restored.
+    relinquished : int
+        Revision of the record under which this instance never acts again;
+        0 if it has given up none.
     """
 
     def __init__(self, fleet):
@@ -101,8 +94,11 @@
         self._next_read = 0.0
         # Revision of the store's record that was last found to be earlier.
         self._ignored_revision = 0
-        # Loop seconds since when the known holder is outdated, or None.
-        self._outdated_since = None
+        self.relinquished = 0
+        # Boot-clock seconds of a read of the store by another instance since
+        # the last one of this instance, the holder; None if there was none.
+        self._others_read_at = None
+        self._failed_reads = 0
 
     @property
     def held(self):
@@ -121,12 +117,19 @@
         incarnation = self._fleet.store_health.incarnation
         return bool(self.holder) and acquired_in < incarnation
 
+    @property
+    def is_relinquished(self):
+        """Return whether this instance has given up the latest record."""
+        return self.held and self.relinquished == self.revision
+
     def is_confirmed(self):
         """Return whether a recent store read shows this instance's record."""
         leaders = self._fleet.leaders
         record = leaders.duty_record
         if not self.held or self.is_outdated or record is None:
             return False
+        if self.is_relinquished:
+            return False
         if record.written_at != self.fence:
             return False
         now = self._fleet.dependencies.boot_time()
@@ -149,6 +152,7 @@
             )
             await clock.pause(interval_s * self._rng.uniform(0.8, 1.2))
             try:
+                self._relinquish_if_unable()
                 await self._step()
             except exceptions.StoreUnavailable as exc:
                 event(log.debug, "duty_step_failed", error=exc)
@@ -170,32 +174,17 @@
         if self.is_outdated:
             return False
         age_s = fleet.leaders.book.read_age_s(fleet.dependencies.boot_time())
-        return age_s < FRESH_KNOWLEDGE_AGE_S and self._is_holder_active()
+        return age_s < FRESH_KNOWLEDGE_AGE_S and (
+            fleet.succession.is_holder_active()
+        )
 
     async def _step(self):
-        now = clock.now()
-        if not self.is_outdated:
-            self._outdated_since = None
-        elif self._outdated_since is None:
-            self._outdated_since = now
-        due = now >= self._next_read or self._is_restore_unread()
+        due = clock.now() >= self._next_read or self._is_restore_unread()
         if due and self._should_read():
             await self._read()
-        if self._should_acquire():
+        if self._fleet.succession.should_acquire():
             await self._acquire()
 
-    def _rank(self):
-        """Return this instance's rank among live instances; 0 is first."""
-        names = self._fleet.gossip.live_names()
-        ranked = ownership.rank_members(
-            [ownership.Member(name, "", "") for name in names],
-            storedrecords.DUTY_KEY,
-        )
-        ranked_names = [member.name for member in ranked]
-        if self._fleet.me.name not in ranked_names:
-            return len(ranked_names)
-        return ranked_names.index(self._fleet.me.name)
-
     def _is_restore_unread(self):
         """Return whether the records were last read before a restore."""
         listing = self._fleet.leaders.listing
@@ -210,7 +199,9 @@
         if age_s <= MAX_KNOWLEDGE_AGE_S:
             # Avoids ranking all instances ten times a second.
             return False
-        delay_s = min(MAX_RANK_DELAY_S, DELAY_PER_RANK_S * self._rank())
+        delay_s = min(
+            MAX_RANK_DELAY_S, DELAY_PER_RANK_S * self._fleet.succession.rank()
+        )
         return age_s > MAX_KNOWLEDGE_AGE_S + delay_s
 
     async def _read(self):
@@ -218,10 +209,61 @@
         self._next_read = clock.now() + (
             LARGE_FLEET_READ_INTERVAL_S if large else READ_INTERVAL_S
         )
-        await self._fleet.leaders.read()
+        asked_at = self._fleet.dependencies.boot_time()
+        try:
+            await self._fleet.leaders.read()
+        except exceptions.StoreUnavailable:
+            self._record_failed_read(asked_at)
+            raise
         if self.is_confirmed():
             await self._answer_challenge()
 
+    def _record_failed_read(self, asked_at):
+        """Count a failed read if the store has served others before it.
+
+        Parameters
+        ----------
+        asked_at : float
+            Boot-clock seconds of the read.
+        """
+        leaders = self._fleet.leaders
+        last_read_at = leaders.book.last_read.read_at
+        if not self.held or last_read_at <= leaders.duty_read_at:
+            # The store may be away for all.
+            self._others_read_at = None
+            self._failed_reads = 0
+            return
+        if self._others_read_at is None or (
+            self._others_read_at <= leaders.duty_read_at
+        ):
+            self._others_read_at = last_read_at
+            self._failed_reads = 0
+        if asked_at >= self._others_read_at:
+            self._failed_reads += 1
+            self._next_read = clock.now()
+
+    def _relinquish_if_unable(self):
+        """Give up the duty where another instance can act on it instead."""
+        fleet = self._fleet
+        if not self.held or self.is_relinquished or self.is_outdated:
+            return
+        read_at = fleet.leaders.duty_read_at
+        turned_away = self._failed_reads >= MIN_FAILED_READS and (
+            self._others_read_at > read_at
+        )
+        if not turned_away:
+            return
+        self.relinquished = self.revision
+        event(
+            log.warning,
+            "duty_relinquished",
+            fence=revisions.describe(self.revision),
+            failed_reads=self._failed_reads,
+            unread_s=fleet.dependencies.boot_time() - read_at,
+        )
+        if not fleet.gossip.is_large:
+            fleet.spawn(fleet.gossip.exchange_all())
+
     def merge_listing(self):
         """Merge the record of the holder in the latest read of the store."""
         record = self._fleet.leaders.duty_record
@@ -280,85 +322,26 @@
         self.holder = holder
         self.revision = revision
 
-    def _should_acquire(self):
-        if self._fleet.stopping or not self._fleet.registered:
-            return False
-        if self.is_outdated:
-            return self._should_reacquire()
-        if self.held:
-            return False
-        if self.holder and not self._fleet.may_change_primaries:
-            return False
-        gossip = self._fleet.gossip
-        if self.holder:
-            running_s = clock.now() - self._fleet.started_at
-            if running_s < STARTUP_S or self._is_holder_active():
-                return False
-            handed_over = self._has_handed_over()
-            if gossip.full_rounds < MIN_FULL_ROUNDS and not handed_over:
-                return False
-        return self._rank() == 0
-
-    def _should_reacquire(self):
-        """Return whether to acquire the duty after a restore of the store."""
-        if self.held:
-            return True
-        if not self._is_holder_active():
-            return self._rank() == 0
-        if self._outdated_since is None:
-            return False
-        delay_s = REACQUIRE_DELAY_S + REACQUIRE_DELAY_PER_RANK_S * self._rank()
-        return clock.now() - self._outdated_since > delay_s
-
-    def _is_holder_active(self):
-        """Return whether the holder answers and has not handed over."""
-        gossip = self._fleet.gossip
-        answers = self.holder in self._fleet.leaders.members and (
-            not gossip.is_silent(self.holder)
-        )
-        return answers and not self._has_handed_over()
-
-    def _has_handed_over(self):
-        """Return whether the holder is stopping and may be succeeded."""
+    def has_handed_over(self):
+        """Return whether the holder no longer acts, and may be succeeded."""
         return self._fleet.gossip.has_handed_over(
             self.holder, self.revision, MAX_HANDED_OVER_AGE_S
         )
 
-    async def _may_succeed(self, holder):
-        """Return whether the holder, and not this instance, is isolated."""
-        gossip = self._fleet.gossip
-        member = self._fleet.leaders.members.get(holder)
-        if member is not None:
-            # Many instances contact the holder, so it may only be slow to
-            # answer. No primary can be changed while the duty keeps moving.
-            await gossip.exchange(member)
-            if not self._should_acquire():
-                return False
-        if not holder:
-            return True
-        survey = await gossip.survey(SURVEY_INSTANCES, holder)
-        # Where most others hear the holder, the fault lies between it and
-        # this instance, and only a holder without the store is replaced.
-        is_certain = survey.has_majority and not survey.is_holder_heard
-        if not is_certain and not await self._has_lost_store(holder):
-            event(
-                log.notice,
-                "duty_not_acquired",
-                holder=holder,
-                silent_s=gossip.silent_s(holder),
-                asked=survey.asked,
-                answered=survey.answered,
-                hear_holder=survey.hear_holder,
-            )
-            await clock.pause(SURVEY_RETRY_DELAY_S)
-            return False
-        return self._should_acquire()
-
-    async def _has_lost_store(self, holder):
+    async def has_lost_store(self, holder):
         """Return whether the holder leaves a challenge in the store.
 
         An instance that reaches half of the others or fewer cannot tell
         whether it or the holder is isolated, but both may reach the store.
+
+        Parameters
+        ----------
+        holder : str
+            Name of the holder.
+
+        Raises
+        ------
+        StoreUnavailable
         """
         leaders = self._fleet.leaders
         await self._read()
@@ -400,12 +383,13 @@
     async def _acquire(self):
         """Acquire the duty by a conditional write to the store."""
         holder = self.holder
-        if not self.held and not self._has_handed_over():
-            if not await self._may_succeed(holder):
+        succession = self._fleet.succession
+        if not self.held and not self.has_handed_over():
+            if not await succession.may_succeed_silent(holder):
                 return
         await self._read()
         # Another instance may have acquired the duty meanwhile.
-        if self.holder != holder or not self._should_acquire():
+        if self.holder != holder or not succession.should_acquire():
             return
         leaders = self._fleet.leaders
         earlier = leaders.duty_record
@@ -454,7 +438,7 @@
             # The copy may name another than the latest holder, whose
             # entitlement ends this long after the restore.
             return self._fleet.store_health.restored_at + HANDOVER_DELAY_S
-        if earlier is None:
+        if earlier is None or earlier.written_at == self.relinquished:
             return now
         # An unreadable record does not tell who may still be entitled.
         if earlier.holder and self._fleet.gossip.has_handed_over(
--- a/balsamhinge/controllers/failover.py
+++ b/balsamhinge/controllers/failover.py
@@ -501,13 +501,13 @@
         Raises
         ------
         NotRunError
-            If another instance has acquired the duty.
+            If another instance has acquired the duty, or may do so.
         """
         duty = self._fleet.duty
         while not duty.may_promote():
-            if not duty.held:
+            if not duty.held or duty.is_relinquished:
                 raise exceptions.NotRunError(
-                    "another instance has acquired the promotion duty"
+                    "another instance acquires the promotion duty"
                 )
             await clock.pause(POLL_INTERVAL_S)
 
--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -254,9 +254,10 @@
         return not self.last_messages[name].leaving
 
     def has_handed_over(self, name, revision, max_age_s):
-        """Return whether a stopping holder of the duty has handed it over.
+        """Return whether a holder of the duty has handed it over.
 
-        It then has no change of a primary in progress and starts none.
+        It stops or has relinquished the duty, has no change of a primary in
+        progress and starts none.
 
         Parameters
         ----------
@@ -269,13 +270,12 @@
             has started since may go on with the duty.
         """
         message = self.last_messages.get(name)
-        return (
-            message is not None
-            and message.leaving
-            and message.promise_s > 0
-            and message.holder_revision >= revision
-            and self._contact_age_s(name) < max_age_s
-        )
+        if message is None or not message.promise_s:
+            return False
+        stops = message.leaving and message.holder_revision >= revision
+        if not stops and message.relinquished < revision:
+            return False
+        return self._contact_age_s(name) < max_age_s
 
     def live_names(self):
         """Return the sorted names of live instances.
@@ -376,6 +376,7 @@
             ),
             configuration_proof=fleet.customers.describe_proof(now),
             acknowledged=self._acknowledged(),
+            relinquished=fleet.duty.relinquished,
         )
 
     def _acknowledged(self):
--- a/balsamhinge/controllers/storehealth.py
+++ b/balsamhinge/controllers/storehealth.py
@@ -46,6 +46,7 @@
         self.failing = False
         self.answered_at = clock.now()
         self.returned_at = float("-inf")
+        self._failed_at = float("-inf")
 
     def record_answer(self, revision):
         """Record a successful call.
@@ -67,10 +68,21 @@
 
     def record_failure(self, exc):
         """Record a call that the store did not answer, or refused."""
+        self._failed_at = clock.now()
         if not self.failing:
             self.failing = True
             event(log.warning, "store_lost", error=exc)
 
+    def has_failed_within(self, seconds):
+        """Return whether the last call failed, that many seconds ago or less.
+
+        Parameters
+        ----------
+        seconds : float
+            Age of the failure in seconds.
+        """
+        return self.failing and clock.now() - self._failed_at <= seconds
+
     def record_restore(self, incarnation, at):
         """Record that the store had begun an incarnation before a time.
 
--- a/balsamhinge/fleet.py
+++ b/balsamhinge/fleet.py
@@ -19,6 +19,7 @@
 from balsamhinge.controllers import sampling
 from balsamhinge.controllers import storedrecords
 from balsamhinge.controllers import storehealth
+from balsamhinge.controllers import succession
 from balsamhinge.controllers import tablesync
 from balsamhinge.controllers import targetpools
 from balsamhinge import exceptions
@@ -128,6 +129,7 @@
         self.gossip = gossip.GossipController(self)
         self.sampling = sampling.SamplingController(self)
         self.duty = duty.DutyController(self)
+        self.succession = succession.SuccessionController(self)
         self.leaders.listing_merged = self.duty.merge_listing
         self.failover = failover.FailoverController(self)
         self.restoration = restoration.RestorationController(self)
--- a/balsamhinge/policy/gossipmessages.py
+++ b/balsamhinge/policy/gossipmessages.py
@@ -182,6 +182,9 @@
     acknowledged : dict of str to LogPosition
         By group with synchronous replicas, the latest acknowledged commit
         that the sender knows of.
+    relinquished : int
+        Store revision of the duty record under which the sender never acts
+        again; 0 for none.
     configuration_proof : ConfigurationProof or None
         How long ago the sender's configuration is known to have been
         current; None if the sender has no valid lease or needs none.
@@ -218,3 +221,4 @@
     receiver_found_age_s: float = 1e9
     configuration_proof: configurationlease.ConfigurationProof | None = None
     acknowledged: dict[str, positions.LogPosition] = attrs.Factory(dict)
+    relinquished: int = 0
--- a/balsamhinge/standins/records.py
+++ b/balsamhinge/standins/records.py
@@ -26,8 +26,9 @@
         Seconds that each call takes.
     down : bool
         Whether every call is refused.
-    cut : set of str
-        Instances that the store does not answer.
+    cut, refused : set of str
+        Instances that the store does not answer, and that it turns away at
+        once.
     lose_answers : int
         How many of the next changes are made and not answered.
     silent_watches : bool
@@ -39,6 +40,7 @@
     latency_s: float = 0.004
     down: bool = False
     cut: set = attrs.Factory(set)
+    refused: set = attrs.Factory(set)
     lose_answers: int = 0
     silent_watches: bool = False
     answer_change_s: float = 0.0
@@ -169,7 +171,7 @@
         if self._instance in knobs.cut:
             await asyncio.sleep(1.0)
             raise exceptions.StoreUnavailable("no answer")
-        if knobs.down:
+        if knobs.down or self._instance in knobs.refused:
             raise exceptions.StoreUnavailable("status 503")
 
     def _tell(self, record):
