Let the next able instance take the promotion duty

Cause: only the instance of rank 0 acquired the duty, ranked among all that answer gossip. One that has just joined may not act on it, one without the store cannot, and all others waited for it.

Change: instances tell in gossip whether they could act. Those that could come first by rank, and each acquires the duty one second after the one before it. A holder that has registered anew relinquishes the duty to an instance that could act, instead of holding it idle for 9 s.

Ruled out: that the holder does not hand over; that the successor does not act once it has the duty.

A test of deregistration relied on a holder that keeps the duty after it registered anew; it now keeps all others from acting, and checks the same wait.

--- a/balsamhinge/controllers/duty.py
+++ b/balsamhinge/controllers/duty.py
@@ -251,7 +251,13 @@
         turned_away = self._failed_reads >= MIN_FAILED_READS and (
             self._others_read_at > read_at
         )
-        if not turned_away:
+        wait_s = fleet.may_change_primaries_from - (
+            fleet.dependencies.boot_time()
+        )
+        has_joined = wait_s > HANDOVER_DELAY_S and (
+            fleet.succession.has_able_successor()
+        )
+        if not turned_away and not has_joined:
             return
         self.relinquished = self.revision
         event(
@@ -260,6 +266,7 @@
             fence=revisions.describe(self.revision),
             failed_reads=self._failed_reads,
             unread_s=fleet.dependencies.boot_time() - read_at,
+            may_act_in_s=max(0.0, wait_s),
         )
         if not fleet.gossip.is_large:
             fleet.spawn(fleet.gossip.exchange_all())
--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -376,6 +376,7 @@
             ),
             configuration_proof=fleet.customers.describe_proof(now),
             acknowledged=self._acknowledged(),
+            may_succeed=fleet.succession.may_succeed,
             relinquished=fleet.duty.relinquished,
         )
 
--- a/balsamhinge/controllers/succession.py
+++ b/balsamhinge/controllers/succession.py
@@ -13,6 +13,9 @@
 # store may acquire it anew undisturbed, and the delay that each rank adds.
 REACQUIRE_DELAY_S = 1.0
 REACQUIRE_DELAY_PER_RANK_S = 0.3
+# Time for each instance of an earlier rank to acquire the duty once it may
+# pass on: a question to the holder, one to others, and two calls to the store.
+DELAY_PER_RANK_S = 1.0
 # Age of the last failed call to the store from which an instance no longer
 # counts as without it: most instances of a large fleet seldom call the store.
 MAX_FAILURE_AGE_S = 2.0
@@ -34,7 +37,9 @@
     """Decides whether this instance is to acquire the promotion duty.
 
     The duty passes on once its holder is silent, stops or has relinquished
-    it. The instance that comes first by rank acquires it.
+    it. Instances that can act on it come first, each group by rank. An
+    instance of a later rank does not wait for those before it for longer
+    than `DELAY_PER_RANK_S` each, as they may be unable to act unnoticed.
 
     Parameters
     ----------
@@ -44,6 +49,8 @@
 
     def __init__(self, fleet):
         self._fleet = fleet
+        # Loop seconds since when the duty may pass on, or None.
+        self._vacant_since = None
         # Loop seconds since when the known holder is outdated, or None.
         self._outdated_since = None
 
@@ -58,11 +65,22 @@
             and not fleet.store_health.has_failed_within(MAX_FAILURE_AGE_S)
         )
 
+    def has_able_successor(self):
+        """Return whether another live instance says that it could act."""
+        return any(
+            message.may_succeed
+            for message in self._fleet.gossip.live_messages()
+        )
+
     def rank(self):
         """Return this instance's rank as a successor; 0 is first."""
         gossip, me = self._fleet.gossip, self._fleet.me.name
         ranked = ownership.rank_members(
-            [ownership.Member(name, "", "") for name in gossip.live_names()],
+            [
+                ownership.Member(name, "", "")
+                for name in gossip.live_names()
+                if name == me or gossip.last_messages[name].may_succeed
+            ],
             storedrecords.DUTY_KEY,
         )
         names = [member.name for member in ranked]
@@ -74,9 +92,13 @@
             self._outdated_since = None
         elif self._outdated_since is None:
             self._outdated_since = clock.now()
-        if self._is_vacant():
-            return self.rank() == 0
-        return self._should_reacquire()
+        if not self._is_vacant():
+            self._vacant_since = None
+            return self._should_reacquire()
+        if self._vacant_since is None:
+            self._vacant_since = clock.now()
+        vacant_s = clock.now() - self._vacant_since
+        return vacant_s >= DELAY_PER_RANK_S * self.rank()
 
     def _should_reacquire(self):
         """Return whether to acquire the duty although it is not vacant.
--- a/balsamhinge/policy/gossipmessages.py
+++ b/balsamhinge/policy/gossipmessages.py
@@ -182,6 +182,9 @@
     acknowledged : dict of str to LogPosition
         By group with synchronous replicas, the latest acknowledged commit
         that the sender knows of.
+    may_succeed : bool
+        Whether the sender could act on the promotion duty, as far as it
+        knows.
     relinquished : int
         Store revision of the duty record under which the sender never acts
         again; 0 for none.
@@ -221,4 +224,5 @@
     receiver_found_age_s: float = 1e9
     configuration_proof: configurationlease.ConfigurationProof | None = None
     acknowledged: dict[str, positions.LogPosition] = attrs.Factory(dict)
+    may_succeed: bool = True
     relinquished: int = 0
--- a/tests/controllers/test_deregistration.py
+++ b/tests/controllers/test_deregistration.py
@@ -134,6 +134,10 @@
     def test_a_deregistered_holder_completes_no_change(self):
         async def scenario(world):
             holder = world.holder()
+            # Nobody may succeed it meanwhile: all others have just joined.
+            for one in world.fleets.values():
+                if one is not holder:
+                    one._may_change_primaries_from = float("inf")
             deregister(world, holder.me.name)
             world.leave(world.group.primary)
             while not holder.registered or not is_registered(
--- a/tests/controllers/test_succession.py
+++ b/tests/controllers/test_succession.py
@@ -1,10 +1,12 @@
 """Tests of who takes the promotion duty while instances cannot act on it."""
 
 import asyncio
+import itertools
 
 from balsamhinge.controllers import clock
 from balsamhinge.controllers import storedrecords
 from balsamhinge import interfaces
+from balsamhinge.policy import leases
 from balsamhinge.policy import ownership
 from tests.support import virtual
 
@@ -28,6 +30,14 @@
     return [member.name for member in ranked]
 
 
+def find_first_name(names):
+    """Return a name that ranks before all others."""
+    for number in itertools.count(10):
+        name = f"north-{number}"
+        if rank([*names, name])[0] == name:
+            return name
+
+
 class SuccessionTest(virtual.FleetTestCase):
     """Some instance that can act on the duty has it, and only one acts."""
 
@@ -165,6 +175,75 @@
 
         self.run_fleet(scenario)
 
+    # Guards against a leaving primary that stays in use, as all wait for a
+    # successor that has just joined and may not change primaries.
+    def test_nobody_waits_for_a_successor_that_has_just_joined(self):
+        async def scenario(world):
+            name = find_first_name(world.fleets)
+            world.start_instance(
+                ownership.Member(name, "10.0.0.99:1", "north")
+            )
+            await asyncio.sleep(1.5)
+            holder = world.holder()
+            holder.stopping = True
+            holder.spawn(holder.gossip.exchange_all())
+            self.assertLess(await self.replace_leaving(world), DRAIN_S)
+            self.assertNotEqual(name, self.list_holders(world)[-1])
+
+        self.run_fleet(scenario, instances=1)
+
+    # Guards against the same where the successor reaches the others and not
+    # the store.
+    def test_nobody_waits_for_a_successor_without_the_store(self):
+        async def scenario(world):
+            for turned_away in (
+                world.records.knobs.refused,
+                world.records.knobs.cut,
+            ):
+                first = self.successors(world)[0]
+                await world.kill(world.holder().me.name)
+                turned_away.add(first)
+                self.assertLess(await self.replace_leaving(world), DRAIN_S)
+                self.assertNotEqual(first, self.list_holders(world)[-1])
+                turned_away.clear()
+                world.list_targets()
+                await asyncio.sleep(SETTLED_S)
+
+        self.run_fleet(scenario)
+
+    # Guards against the same where several cannot act, each in its way.
+    def test_nobody_waits_for_several_that_cannot_act(self):
+        async def scenario(world):
+            successors = self.successors(world)
+            holder = world.holder().me.name
+            self.isolate(world, holder)
+            world.records.knobs.refused.add(successors[0])
+            await world.kill(successors[1])
+            await self.replace_leaving(world)
+            self.assertIn(self.list_holders(world)[-1], successors[2:])
+            world.heal()
+            world.records.knobs.refused.clear()
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual(2, len(self.list_holders(world)))
+
+        self.run_fleet(scenario)
+
+    # Guards against two that act as holders lose the store in turns.
+    def test_holders_that_are_turned_away_in_turns_succeed_each_other(self):
+        async def scenario(world):
+            refused = world.records.knobs.refused
+            for _ in range(4):
+                holder = world.holder().me.name
+                refused.clear()
+                refused.add(holder)
+                while self.list_holders(world)[-1] == holder:
+                    await asyncio.sleep(POLL_INTERVAL_S)
+                await asyncio.sleep(1.0)
+            refused.clear()
+            self.assertLess(await self.replace_leaving(world), DRAIN_S)
+
+        self.run_fleet(scenario)
+
     # Guards against a duty that nobody has any more: its holder gave it up,
     # and none of the others reaches the store in time.
     def test_a_holder_acquires_anew_what_nobody_has_taken(self):
@@ -187,6 +266,21 @@
 
         self.run_fleet(scenario)
 
+    # Guards against a leaving primary that stays in use, as the holder of the
+    # duty has registered anew and may not change primaries.
+    def test_a_holder_that_has_just_joined_is_succeeded(self):
+        async def scenario(world):
+            holder = world.holder()
+            holder._may_change_primaries_from = (
+                clock.now() + leases.EXTENDED_LEASE_S
+            )
+            self.assertLess(await self.replace_leaving(world), DRAIN_S)
+            self.assertNotEqual(holder, world.holder())
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual(2, len(self.list_holders(world)))
+
+        self.run_fleet(scenario)
+
     # Guards against an old holder that acts on as it is back after its
     # successor was chosen.
     def test_an_isolated_holder_returns_as_one_of_the_others(self):
