Stop using a leaving primary in time

Cause: only a change of the primary ended its use.

Change: each instance refuses new statements and transactions at a leaving primary one second before the time is over for which it may be used. The setting leaving_use_ms has that time; the platform's settings fill it in.

--- a/balsamhinge/controllers/directory.py
+++ b/balsamhinge/controllers/directory.py
@@ -253,6 +253,8 @@
         self.targets = {}
         self.targets_as_of = 0
         self.target_entries = []
+        # Loop seconds since when a target is known to be about to stop.
+        self._leaving_since = {}
         self._missing = {}
         # Last entries of targets that have left, and when they were dropped.
         self._left = {}
@@ -475,6 +477,11 @@
             name: missing.target for name, missing in self._missing.items()
         }
         self.targets = kept | listed
+        self._leaving_since = {
+            name: self._leaving_since.get(name, now)
+            for name, target in self.targets.items()
+            if target.leaving
+        }
         self.sweep()
 
     def _remember_entries(self, now):
@@ -520,6 +527,22 @@
                     self._left[name] = missing.target, now
                 self.targets.pop(name, None)
 
+    def leaving_s(self, name):
+        """Return for how long a target is known to be about to stop.
+
+        Parameters
+        ----------
+        name : str
+            Name of the target.
+
+        Returns
+        -------
+        float
+            Seconds; 0 if it is not.
+        """
+        now = clock.now()
+        return now - self._leaving_since.get(name, now)
+
     def active_targets(self, group):
         """Return the targets of a group that accept new work."""
         return [
--- a/balsamhinge/fleet.py
+++ b/balsamhinge/fleet.py
@@ -72,7 +72,7 @@
     customer_settings : CustomerSettings
         Settings for keys and rate limits.
     target_settings : TargetSettings
-        How statements wait for targets that are reached through hosts.
+        How targets are used, and how statements wait for them.
 
     Attributes
     ----------
@@ -95,6 +95,7 @@
     ):
         self.me = me
         self.customer_settings = customer_settings
+        self.target_settings = target_settings
         self.dependencies = dependencies
         self.rng = random.Random(f"{seed}/{me.name}")
         self.store_health = storehealth.StoreHealth(dependencies.boot_time)
--- a/balsamhinge/platform/settings.py
+++ b/balsamhinge/platform/settings.py
@@ -24,7 +24,7 @@
     "readiness": ["address"],
     "peers": ["address", "stream_port"],
     "platform": ["store", "promotion"],
-    "targets": ["queue", "concurrency"],
+    "targets": ["queue", "concurrency", "leaving_use_ms"],
     "log": ["level"],
 }
 # Settings of earlier deployments lack these sections.
@@ -56,7 +56,7 @@
     customer_settings : CustomerSettings
         Settings for keys and rate limits.
     target_settings : TargetSettings
-        How statements wait for targets that are reached through hosts.
+        How targets are used, and how statements wait for them.
     """
 
     member: ownership.Member
@@ -135,11 +135,15 @@
 
 def _read_targets(reader):
     default = loans.TargetSettings()
+    leaving_use_ms = reader.decimal(
+        "leaving_use_ms", default.leaving_use_s * MS_PER_S, 1, 3_600_000
+    )
     return loans.TargetSettings(
         queue=reader.choice("queue", loans.QUEUE_KINDS, default.queue),
         concurrency=reader.choice(
             "concurrency", loans.CONCURRENCY_KINDS, default.concurrency
         ),
+        leaving_use_s=leaving_use_ms / MS_PER_S,
     )
 
 
--- a/balsamhinge/policy/loans.py
+++ b/balsamhinge/policy/loans.py
@@ -73,7 +73,7 @@
 
 @attrs.frozen
 class TargetSettings:
-    """How statements wait for targets that are reached through hosts.
+    """How targets are used, and how statements wait for them.
 
     Parameters
     ----------
@@ -83,10 +83,13 @@
     concurrency : str
         "learned" to learn how many statements a target handles well at
         once; "slots" for what it reports.
+    leaving_use_s : float
+        Seconds for which a target that has said that it stops may be used.
     """
 
     queue: str = "ordered"
     concurrency: str = "slots"
+    leaving_use_s: float = 7.0
 
     @property
     def is_ordered(self):
--- a/balsamhinge/sessions/dispatch.py
+++ b/balsamhinge/sessions/dispatch.py
@@ -44,6 +44,10 @@
 # Subtracted from the accepted age to allow for clock differences.
 AGE_MARGIN_S = 0.05
 MAX_TARGETS_PER_READ = 6
+# A leaving primary is no longer used this long before the end of the time for
+# which it may be: gossip may have told of it late, and statements wait for a
+# connection.
+LEAVING_MARGIN_S = 1.0
 
 log = logbook.Logger(__name__)
 
@@ -209,6 +213,8 @@
         target = self._fleet.directory.targets.get(leadership.target)
         if target is None:
             raise exceptions.NotRunError("the primary is not listed")
+        if self._has_left(target):
+            raise exceptions.NotRunError("the primary is about to end")
         return await self._fleet.connection_loans.acquire(
             target,
             req.deadline,
@@ -216,6 +222,13 @@
             workload=req.workload,
         )
 
+    def _has_left(self, target):
+        """Return whether a target may not be used any more, as it stops."""
+        fleet = self._fleet
+        leaving_s = fleet.directory.leaving_s(target.name)
+        use_s = fleet.target_settings.leaving_use_s - LEAVING_MARGIN_S
+        return target.leaving and leaving_s > use_s
+
     def required_position(self, req):
         """Return the log position that a read requires, or None.
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -79,6 +79,11 @@
         )
         with testtools.ExpectedException(exceptions.ConfigurationError):
             read(f"{text}\n[targets]\nqueue = fifo\n")
+        chosen = "[targets]\nleaving_use_ms = 2500\n"
+        self.assertEqual(
+            loans.TargetSettings(leaving_use_s=2.5),
+            read(f"{text}\n{chosen}").target_settings,
+        )
 
     # Guards against a deployment without limits of customers that is served
     # in another way than before.
--- a/tests/sessions/test_dispatch.py
+++ b/tests/sessions/test_dispatch.py
@@ -7,11 +7,13 @@
 from balsamhinge.policy import statements
 from tests.support import virtual
 
-__all__ = ["OverloadTest", "PredictedWaitTest"]
+__all__ = ["LeavingPrimaryTest", "OverloadTest", "PredictedWaitTest"]
 
 # With backoff, 0.8 s allow retries after 20, 40, 80 and then every 160 ms.
 # Retries every 20 ms would be 13, the limit of attempts.
 MAX_ATTEMPTS = 9
+# A target that has said that it stops may be used for this long.
+LEAVING_USE_S = 7.0
 
 
 class OverloadTest(virtual.FleetTestCase):
@@ -73,3 +75,31 @@
             self.assertIsNone((await caller.write("a", "1")).problem)
 
         self.run_fleet(scenario)
+
+
+class LeavingPrimaryTest(virtual.FleetTestCase):
+    """A primary that has said that it stops."""
+
+    # Guards against statements that reach a primary after the time for which
+    # it may be used, as no other target can replace it.
+    def test_a_leaving_primary_without_successor_is_not_used_on(self):
+        async def scenario(world):
+            old = world.group.primary
+            left_at = clock.now()
+            for target in world.group.targets.values():
+                world.leave(target)
+            await self.write_for(world, 12.0)
+            runs = [
+                run.at - left_at
+                for run in world.group.runs
+                if run.target == old.name
+            ]
+            self.assertGreater(max(runs), LEAVING_USE_S - 2.0)
+            self.assertLess(max(runs), LEAVING_USE_S)
+            # Another process of the target is back under its name.
+            world.list_targets()
+            count = len(world.acknowledged)
+            await self.write_for(world, 2.0)
+            self.assertGreater(len(world.acknowledged), count)
+
+        self.run_fleet(scenario)
