Count the wait for a returning target anew in each change

Cause: the time since when acknowledged commits are missing was kept by group and ended only with a change that this instance completed itself. A later change could have given commits up at once.

Change: the wait belongs to the epoch of the change, and is logged once.

--- a/balsamhinge/controllers/successors.py
+++ b/balsamhinge/controllers/successors.py
@@ -81,8 +81,8 @@
 
     def __init__(self, fleet):
         self._fleet = fleet
-        # Loop seconds since when no log of a group, as far as it is listed,
-        # holds all acknowledged commits.
+        # By group, the epoch of a change and the loop seconds since when no
+        # log of a listed target is known to hold all acknowledged commits.
         self._missing_since = {}
 
     def candidates(self, leadership, orderly):
@@ -210,7 +210,7 @@
         if (
             eligible
             and old_report.term == term
-            and (old_report.role is routes.TargetRole.PRIMARY)
+            and old_report.role is routes.TargetRole.PRIMARY
         ):
             chosen = leadership.target
         return PrimaryChoice(
@@ -306,7 +306,6 @@
             )
         for name in names:
             if name is not None and evidence.holds_all(name):
-                self._missing_since.pop(leadership.group, None)
                 return attrs.evolve(choice, target=name), True
         return choice, self._has_waited(leadership, choice, evidence)
 
@@ -335,24 +334,28 @@
         It does once the targets that may hold them are no longer listed and
         have not come back in time. A listed one is awaited for any time.
         """
-        group = leadership.group
-        now = clock.now()
-        waited_s = now - self._missing_since.setdefault(group, now)
+        group, now = leadership.group, clock.now()
+        epoch, since = self._missing_since.get(group, (None, now))
+        if epoch != leadership.epoch:
+            since = now
+            self._missing_since[group] = leadership.epoch, now
+        bound = evidence.upper_bound()
         is_over = (
             choice.target is not None
-            and evidence.upper_bound() is not None
-            and waited_s > MAX_RETURN_WAIT_S
-        )
-        event(
-            log.error if is_over else log.info,
-            "commits_given_up" if is_over else "commits_awaited",
-            group=group,
-            target=choice.target,
-            acknowledged=evidence.told,
-            bound=evidence.upper_bound(),
-            unheard=",".join(evidence.unheard),
-            waited_s=waited_s,
+            and bound is not None
+            and now - since > MAX_RETURN_WAIT_S
         )
+        if is_over or since == now:
+            event(
+                log.error if is_over else log.warning,
+                "commits_given_up" if is_over else "commits_awaited",
+                group=group,
+                target=choice.target,
+                acknowledged=evidence.told,
+                bound=bound,
+                unheard=",".join(evidence.unheard),
+                waited_s=now - since,
+            )
         return is_over
 
     def _known_term(self, leadership):
--- a/tests/controllers/test_successors.py
+++ b/tests/controllers/test_successors.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from balsamhinge.controllers import successors
 from balsamhinge import interfaces
 from tests.support import virtual
 
@@ -113,6 +114,22 @@
 
         self.run_synchronous(scenario)
 
+    # Guards against a group that never has a primary again, as the targets
+    # that hold the latest commits are gone for good.
+    def test_commits_of_targets_that_do_not_return_are_given_up(self):
+        async def scenario(world):
+            primary, synced, behind = await self.lag(world)
+            for gone in (primary, synced):
+                gone.knobs.dark = True
+                world.records.drop(interfaces.TARGETS, gone.name)
+            await asyncio.sleep(successors.MAX_RETURN_WAIT_S)
+            self.assertEqual([], world.promotions)
+            await asyncio.sleep(FAILOVER_S)
+            self.assertIs(behind, world.group.primary)
+            self.assertNotEqual(set(), self.lost)
+
+        self.run_synchronous(scenario)
+
     # Guards against the same in an orderly change, where the old primary is
     # about to stop and the others have not caught up.
     def test_a_leaving_primary_goes_on_until_another_holds_all(self):
