Play synchronous groups and a store that refuses some in the soak

Cause: no play of the soak had synchronous replicas, a replica that leaves or turns status queries away, or a store that turns the holder of the duty away for seconds.

The stand-in acknowledged a commit of an earlier term once a replica had passed its position; it now asks for the entry itself.

--- a/balsamhinge/standins/replicas.py
+++ b/balsamhinge/standins/replicas.py
@@ -140,6 +140,13 @@
         """Return the position of the last entry that reads see."""
         return self.log[self.applied - 1].position if self.applied else ORIGIN
 
+    def holds(self, position):
+        """Return whether the log has the entry of a position."""
+        for entry in reversed(self.log):
+            if entry.position <= position:
+                return entry.position == position
+        return False
+
     def value(self, item):
         """Return what an item holds, as far as it is applied."""
         for entry in reversed(self.log[: self.applied]):
@@ -250,8 +257,7 @@
     async def wait_received(self, position):
         """Wait until enough replicas have received a commit."""
         while self.synchronous_replicas > sum(
-            target.role is Role.REPLICA
-            and positions.covers(target.received, position)
+            target.role is Role.REPLICA and target.holds(position)
             for target in self.targets.values()
         ):
             await asyncio.sleep(RECEIVE_S)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -5,7 +5,10 @@
 back from older copies. With ``--customers`` callers have keys, which
 operators replace, and limits, beyond which one customer goes. With
 ``--absences`` instances are cut off until they are deregistered, come back,
-and are cut off again while the primary is replaced.
+and are cut off again while the primary is replaced. With ``--synchronous``
+a commit is acknowledged once a replica has received it, and no promotion may
+lose one. With ``--refusals`` the store turns some instances away, often the
+holder of the promotion duty, while primaries are replaced.
 """
 
 import argparse
@@ -44,6 +47,10 @@
 KEY_WEIGHT = 4
 # The same for a long absence.
 ABSENCE_WEIGHT = 3
+# The same for refusals by the store, and faults of replicas in a group that
+# replicates synchronously.
+REFUSAL_WEIGHT = 4
+REPLICA_WEIGHT = 3
 # A target takes so long to hear of another primary.
 STEP_DOWN_S = 1.0
 SETTINGS = customers.CustomerSettings(
@@ -193,20 +200,32 @@
 
 
 class Soak:
-    """One seed's callers and faults."""
-
-    def __init__(self, seed, restores, with_customers=False, absences=False):
+    """One seed's callers and faults; see `play`."""
+
+    def __init__(
+        self,
+        seed,
+        restores=False,
+        with_customers=False,
+        absences=False,
+        synchronous=False,
+        refusals=False,
+    ):
         self.rng = random.Random(f"soak/{seed}")
         self._restores = restores
         self._absences = absences
+        self._synchronous = synchronous
+        self._refusals = refusals
         self.outcome = Outcome(seed)
         self._keys = Keys() if with_customers else None
-        options = {}
+        options = {"synchronous_replicas": int(synchronous)}
         if with_customers:
             options["customers"] = self._keys.customers().values()
             options["customer_settings"] = SETTINGS
         self.world = fleet.FleetWorld(instances=2, **options)
         self.world.group.runs = RunLog(self.world.group)
+        if synchronous:
+            self._check_promotions()
         self._count = 0
         self._playing = True
 
@@ -368,6 +387,11 @@
         if self._keys:
             kinds += [self._replace_key] * KEY_WEIGHT
         kinds += [self._store_restored] * (RESTORE_WEIGHT * self._restores)
+        kinds += [self._store_refuses] * (REFUSAL_WEIGHT * self._refusals)
+        kinds += [self._leave] * (REFUSAL_WEIGHT * self._refusals)
+        kinds += [self._leave_replica] * (REPLICA_WEIGHT * self._synchronous)
+        kinds += [self._busy_target] * (REPLICA_WEIGHT * self._synchronous)
+        kinds += [self._crash_after_lag] * (REPLICA_WEIGHT * self._synchronous)
         kinds += [self._long_absence] * (ABSENCE_WEIGHT * self._absences)
         kinds += [self._deregister] * (ABSENCE_WEIGHT * self._absences)
         while clock.now() < ends_at:
@@ -456,6 +480,21 @@
         await self._for_a_while()
         knobs.down = False
 
+    async def _store_refuses(self):
+        """Turn the holder of the duty away, or some of all instances."""
+        names = [member.name for member in self.world.members]
+        chosen = set(self.rng.sample(names, self.rng.randint(1, 3)))
+        if self.rng.random() < 0.6:
+            chosen = {one.me.name for one in self._holders()}
+        knobs = self.world.records.knobs
+        turned_away = self.rng.choice((knobs.refused, knobs.cut))
+        turned_away |= chosen
+        await self._for_a_while(9.0)
+        turned_away -= chosen
+
+    def _holders(self):
+        return [one for one in self.world.fleets.values() if one.duty.held]
+
     async def _store_restored(self):
         copy = self.world.records.copy()
         await self._for_a_while()
@@ -488,6 +527,38 @@
         await self._for_a_while(4.0)
         self.world.records.put(interfaces.TARGETS, target.name, target.entry())
 
+    async def _leave_replica(self):
+        target = self._target()
+        self.world.leave(target)
+        await self._for_a_while()
+        self.world.records.put(interfaces.TARGETS, target.name, target.entry())
+
+    async def _busy_target(self):
+        target = self._target()
+        target.knobs.status_full = True
+        await self._for_a_while()
+        target.knobs.status_full = False
+
+    async def _crash_after_lag(self):
+        """Silence the primary while one replica alone has received all."""
+        group = self.world.group
+        primary = group.primary
+        replicas = [one for one in group.targets.values() if one != primary]
+        behind, synced = self.rng.sample(replicas, 2)
+        behind.knobs.deaf = True
+        leaves = self.rng.random() < 0.5
+        synced.knobs.status_full = not leaves
+        if leaves:
+            self.world.leave(synced)
+        await self._for_a_while(3.0)
+        primary.knobs.dark = True
+        await self._for_a_while()
+        synced.knobs.status_full = False
+        self.world.records.put(interfaces.TARGETS, synced.name, synced.entry())
+        for target, knob in ((behind, "deaf"), (primary, "dark")):
+            setattr(target.knobs, knob, False)
+            await rejoin(group, target)
+
     async def _replace_key(self):
         name = self.rng.choice(list(RATES))
         key = self._keys.current[name]
@@ -552,6 +623,30 @@
                         f"{write.request_id} of {write.ended:.3f}"
                     )
 
+    def _check_promotions(self):
+        """Check each promotion against what was acknowledged before it."""
+        group = self.world.group
+        promote = group._promote
+
+        def check(name):
+            target = group.targets[name]
+            held = {entry.request_id for entry in target.log}
+            missing = [
+                ask.request_id
+                for ask in self.outcome.asks
+                if ask.write
+                and ask.problem is None
+                and ask.request_id not in held
+            ]
+            if missing and not target.knobs.dark:
+                self._break(
+                    f"{name} was promoted at {clock.now():.3f} without "
+                    f"{len(missing)} acknowledged commits, first {missing[0]}"
+                )
+            promote(name)
+
+        group._promote = check
+
     def _check_customers(self):
         for text in self._keys.find_faults(self.world.group.runs):
             self._break(text)
@@ -577,7 +672,7 @@
     return write.ended < read.begun - fleet.MAX_AGE_S
 
 
-def play(seed, restores=False, with_customers=False, absences=False):
+def play(seed, **options):
     """Return the `Outcome` of one seed.
 
     Parameters
@@ -590,10 +685,14 @@
         Whether callers have keys and limits.
     absences : bool
         Whether instances are deregistered while they are alive.
+    synchronous : bool
+        Whether a commit is acknowledged once a replica has received it.
+    refusals : bool
+        Whether the store turns some instances away, and primaries leave.
     """
 
     async def run():
-        return await Soak(seed, restores, with_customers, absences).play()
+        return await Soak(seed, **options).play()
 
     return virtual.run_virtual(run())
 
@@ -608,10 +707,19 @@
     parser.add_argument("--restores", action="store_true")
     parser.add_argument("--customers", action="store_true")
     parser.add_argument("--absences", action="store_true")
+    parser.add_argument("--synchronous", action="store_true")
+    parser.add_argument("--refusals", action="store_true")
     args = parser.parse_args(argv)
     red = 0
     for seed in range(args.first, args.first + args.seeds):
-        outcome = play(seed, args.restores, args.customers, args.absences)
+        outcome = play(
+            seed,
+            restores=args.restores,
+            with_customers=args.customers,
+            absences=args.absences,
+            synchronous=args.synchronous,
+            refusals=args.refusals,
+        )
         served = sum(ask.problem is None for ask in outcome.asks)
         print(
             f"seed={seed} asks={len(outcome.asks)} served={served} "
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -28,6 +28,15 @@
         self.assertEqual([], outcome.broken)
         self.assertGreater(len(outcome.asks), 1000)
 
+    # Guards against commits that a promoted target lacks, as another one
+    # holds them that leaves, is busy or does not answer; and against two
+    # holders of the duty that act while the store turns some away.
+    def test_seeds_of_a_synchronous_group_with_refusals(self):
+        for seed in (102, 104):
+            outcome = soak.play(seed, synchronous=True, refusals=True)
+            self.assertEqual([], outcome.broken, f"seed {seed}")
+            self.assertGreater(len(outcome.asks), 1000)
+
     # The store also comes back from older copies.
     def test_seeds_with_restores(self):
         for seed in (2, 11):
