Limit who asks about a silent holder in a large fleet

In a large fleet an instance hears few others, so nearly all reach their turn within seconds.

Change: only in a fleet of up to 16 instances does a later rank take its turn. In a large one those that come first among the able ones they have heard acquire the duty, as before; there are several.

Evidence: test_few_instances_of_a_large_fleet_survey_the_others sees ranks 1 to 3 ask on the code before, and rank 0 alone with the change.

Result: tests.controllers.test_succession: 13 passed.

--- a/balsamhinge/controllers/succession.py
+++ b/balsamhinge/controllers/succession.py
@@ -37,9 +37,12 @@
     """Decides whether this instance is to acquire the promotion duty.
 
     The duty passes on once its holder is silent, stops or has relinquished
-    it. Instances that can act on it come first, each group by rank. An
+    it. Instances that can act on it come first, by rank. In a small fleet an
     instance of a later rank does not wait for those before it for longer
-    than `DELAY_PER_RANK_S` each, as they may be unable to act unnoticed.
+    than `DELAY_PER_RANK_S` each, as they may be unable to act unnoticed. In
+    a large fleet each instance ranks itself among the few that it has heard
+    lately, so several come first, and surveys by all others would only add
+    to the load.
 
     Parameters
     ----------
@@ -95,10 +98,13 @@
         if not self._is_vacant():
             self._vacant_since = None
             return self._should_reacquire()
+        rank = self.rank()
         if self._vacant_since is None:
             self._vacant_since = clock.now()
+        if self._fleet.gossip.is_large:
+            return rank == 0
         vacant_s = clock.now() - self._vacant_since
-        return vacant_s >= DELAY_PER_RANK_S * self.rank()
+        return vacant_s >= DELAY_PER_RANK_S * rank
 
     def _should_reacquire(self):
         """Return whether to acquire the duty although it is not vacant.
--- a/tests/controllers/test_succession.py
+++ b/tests/controllers/test_succession.py
@@ -144,6 +144,35 @@
 
         self.run_fleet(scenario, instances=7)
 
+    # Guards against a large fleet in which each instance asks many others of
+    # a silent holder, when there is too much load already.
+    def test_few_instances_of_a_large_fleet_survey_the_others(self):
+        async def scenario(world):
+            holder = world.holder().me.name
+            ranks = []
+
+            def count(one):
+                survey = one.gossip.survey
+
+                async def counted(*args):
+                    ranks.append(one.succession.rank())
+                    return await survey(*args)
+
+                one.gossip.survey = counted
+
+            for one in world.fleets.values():
+                count(one)
+            self.isolate(world, holder)
+            # Nobody can acquire the duty meanwhile.
+            world.records.knobs.down = True
+            await asyncio.sleep(6.0)
+            world.records.knobs.down = False
+            await asyncio.sleep(SETTLED_S)
+            self.assertEqual(2, len(self.list_holders(world)))
+            self.assertEqual({0}, set(ranks))
+
+        self.run_fleet(scenario, instances=7)
+
     # Guards against a duty that moves whenever the store has been away.
     def test_an_outage_of_the_store_moves_no_duty(self):
         async def scenario(world):
