Move the duty of an unable holder only where it is needed

Cause: a holder that the store turned away relinquished the duty at once.

Change: the holder relinquishes the duty once the primary of some group is to be changed, which it goes on watching. The same for a holder that has registered anew.

--- a/balsamhinge/controllers/duty.py
+++ b/balsamhinge/controllers/duty.py
@@ -243,7 +243,7 @@
             self._next_read = clock.now()
 
     def _relinquish_if_unable(self):
-        """Give up the duty where another instance can act on it instead."""
+        """Give up the duty where another instance has to act instead."""
         fleet = self._fleet
         if not self.held or self.is_relinquished or self.is_outdated:
             return
@@ -259,6 +259,9 @@
         )
         if not turned_away and not has_joined:
             return
+        # The duty moves only where something is to be done.
+        if not fleet.failover.is_change_due():
+            return
         self.relinquished = self.revision
         event(
             log.warning,
--- a/balsamhinge/controllers/failover.py
+++ b/balsamhinge/controllers/failover.py
@@ -76,6 +76,30 @@
         """Return whether this instance is changing a primary."""
         return bool(self._busy_groups)
 
+    def is_change_due(self):
+        """Return whether the primary of some group is to be changed.
+
+        A holder that cannot change it tells by this whether another instance
+        has to.
+        """
+        self._unresponsive_counts = self._count_unresponsive()
+        return any(map(self._is_due, self._fleet.directory.table.groups))
+
+    def _is_due(self, group):
+        leadership = self._fleet.leaders.latest(group)
+        if leadership is None or not leadership.target:
+            return True
+        if leadership.changing or self._find_newer_primary(leadership):
+            return True
+        action = failoverrules.decide_action(
+            self._collect_evidence(leadership)
+        )
+        if action is failoverrules.FailoverAction.KEEP:
+            self._probe(leadership)
+            return False
+        orderly = action is failoverrules.FailoverAction.SWITCH
+        return bool(self.successors.candidates(leadership, orderly))
+
     async def run(self):
         """Check the primaries of all groups until cancelled."""
         while True:
