--- a/balsamhinge/controllers/succession.py
+++ b/balsamhinge/controllers/succession.py
@@ -37,12 +37,12 @@
     """Decides whether this instance is to acquire the promotion duty.
 
     The duty passes on once its holder is silent, stops or has relinquished
-    it. Instances that can act on it come first, by rank. In a small fleet an
+    it. In a small fleet those that can act on it come first, by rank, and an
     instance of a later rank does not wait for those before it for longer
     than `DELAY_PER_RANK_S` each, as they may be unable to act unnoticed. In
     a large fleet each instance ranks itself among the few that it has heard
-    lately, so several come first, and surveys by all others would only add
-    to the load.
+    lately, so several come first, and more surveys would only add to the
+    load.
 
     Parameters
     ----------
@@ -78,12 +78,15 @@
     def rank(self):
         """Return this instance's rank as a successor; 0 is first."""
         gossip, me = self._fleet.gossip, self._fleet.me.name
-        ranked = ownership.rank_members(
-            [
-                ownership.Member(name, "", "")
-                for name in gossip.live_names()
+        live = gossip.live_names()
+        if not gossip.is_large:
+            live = [
+                name
+                for name in live
                 if name == me or gossip.last_messages[name].may_succeed
-            ],
+            ]
+        ranked = ownership.rank_members(
+            [ownership.Member(name, "", "") for name in live],
             storedrecords.DUTY_KEY,
         )
         names = [member.name for member in ranked]
