Test that commits of a busy replica survive a failover

The case had no test of its own.

Change: test_a_busy_replica_that_alone_holds_commits_is_promoted, and what happens to the same commits when instances are killed, cut off or restarted one after the other, when the duty passes on within the change, when the store is away or restored, and when the configuration or the statement differs. What the tests of synchronous groups share is in tests/support/synchronous.py; test_successors.py is moved onto it unchanged.

--- /dev/null
+++ b/tests/controllers/test_acknowledgements.py
@@ -0,0 +1,300 @@
+"""Tests of who still knows of a commit when a primary is changed."""
+
+import asyncio
+
+from balsamhinge.controllers import successors
+from balsamhinge.policy import statements
+from tests.support import synchronous
+
+__all__ = [
+    "ConfigurationTest",
+    "InstancesTest",
+    "ReturningTargetsTest",
+    "StatementsTest",
+    "WaitingTest",
+]
+
+FAILOVER_S = synchronous.FAILOVER_S
+# Less than the shortest interval between rounds of gossip.
+UNTOLD_S = 0.02
+# A replica answers no status query for this long.
+BUSY_S = 9.0
+
+
+class Scenarios(synchronous.SynchronousFleetTestCase):
+    """Lets one of two replicas alone hold what is acknowledged."""
+
+    async def fail_over(self, world, busy_s=BUSY_S):
+        """Crash the primary while the replica that holds all is busy."""
+        primary, synced, _behind = world.group.targets.values()
+        synced.knobs.status_full = True
+        primary.knobs.dark = True
+        await asyncio.sleep(busy_s)
+        synced.knobs.status_full = False
+        await self.wait_promotion(world, synced, FAILOVER_S)
+        await self.write_for(world, 1.0)
+        self.assert_none_lost(world)
+
+    def other_instance(self, world):
+        """Return the name of an instance without the duty."""
+        holder = world.holder().me.name
+        return next(name for name in world.fleets if name != holder)
+
+    def cut_off(self, world, name):
+        """Cut an instance off from all others."""
+        world.cuts |= {
+            frozenset((name, other)) for other in world.fleets if other != name
+        }
+
+    async def restart(self, world, name):
+        """Kill an instance, and start it again at once."""
+        member = world.fleets[name].me
+        await world.kill(name)
+        world.start_instance(member)
+
+
+class InstancesTest(Scenarios):
+    """The instance that acknowledged a commit no longer tells of it."""
+
+    # Guards against acknowledged commits that are lost in a failover because
+    # the only replica that holds them turns status queries away (review/6).
+    def test_a_busy_replica_that_alone_holds_commits_is_promoted(self):
+        async def scenario(world):
+            await self.lag(world)
+            await self.fail_over(world, busy_s=1.5)
+
+        self.run_synchronous(scenario)
+
+    # Guards against the same where the instance stays away.
+    def test_a_commit_of_a_killed_instance_is_kept(self):
+        async def scenario(world):
+            await self.lag(world, seconds=0.0)
+            name = self.other_instance(world)
+            await self.write_once(world, name)
+            await world.kill(name)
+            await self.fail_over(world)
+
+        self.run_synchronous(scenario)
+
+    # Guards against the same where they restart one after the other.
+    def test_commits_survive_a_rolling_restart(self):
+        async def scenario(world):
+            await self.lag(world)
+            for name in list(world.fleets):
+                await self.write_once(world, name)
+                await asyncio.sleep(UNTOLD_S)
+                await self.restart(world, name)
+                await asyncio.sleep(1.0)
+            await self.fail_over(world)
+
+        self.run_synchronous(scenario)
+
+    # Guards against the same where the instance that acknowledged is cut off.
+    def test_a_commit_of_an_isolated_instance_is_kept(self):
+        async def scenario(world):
+            await self.lag(world, seconds=0.0)
+            name = self.other_instance(world)
+            await self.write_once(world, name)
+            self.cut_off(world, name)
+            await self.fail_over(world)
+
+        self.run_synchronous(scenario)
+
+    # Guards against the same where the holder of the duty dies within the
+    # change, and another instance or its own next process resumes it.
+    def test_a_resumed_change_loses_no_commit(self):
+        for restarts in (False, True):
+
+            async def scenario(world, restarts=restarts):
+                primary, synced, _behind = await self.lag(world)
+                holder = world.holder().me
+                await self.write_once(world, holder.name)
+                synced.knobs.status_full = True
+                primary.knobs.dark = True
+                while not self.is_changing(world):
+                    await asyncio.sleep(UNTOLD_S)
+                await world.kill(holder.name)
+                if restarts:
+                    world.start_instance(holder)
+                await self.fail_over(world)
+
+            self.run_synchronous(scenario)
+
+    def is_changing(self, world):
+        """Return whether a change of the primary is announced."""
+        return any(
+            one.leaders.latest(world.group.name).changing
+            for one in world.fleets.values()
+        )
+
+    # Guards against the same where the store has been restored from a copy
+    # of before, and the instances read the list of instances anew.
+    def test_a_restored_store_loses_no_commit(self):
+        async def scenario(world):
+            copy = world.records.copy()
+            await self.lag(world)
+            name = self.other_instance(world)
+            await self.write_once(world, name)
+            await asyncio.sleep(UNTOLD_S)
+            await self.restart(world, name)
+            await world.restore_store(copy)
+            await self.fail_over(world)
+
+        self.run_synchronous(scenario)
+
+    # Guards against the same while the store is away.
+    def test_a_store_that_is_away_loses_no_commit(self):
+        async def scenario(world):
+            await self.lag(world)
+            name = self.other_instance(world)
+            await self.write_once(world, name)
+            world.records.knobs.down = True
+            primary, synced, _behind = world.group.targets.values()
+            synced.knobs.status_full = True
+            primary.knobs.dark = True
+            await self.restart(world, name)
+            await asyncio.sleep(FAILOVER_S)
+            world.records.knobs.down = False
+            await self.fail_over(world)
+
+        self.run_synchronous(scenario)
+
+
+class ReturningTargetsTest(Scenarios):
+    """Targets leave the list and come back, with other logs than before."""
+
+    # Guards against a change that goes on without the old primary, which is
+    # back with all commits.
+    def test_an_old_primary_that_returns_goes_on(self):
+        async def scenario(world):
+            primary, synced, _behind = await self.lag(world)
+            synced.knobs.status_full = True
+            primary.knobs.dark = True
+            await asyncio.sleep(FAILOVER_S)
+            primary.knobs.dark = False
+            await self.write_for(world, 2.0)
+            self.assertEqual([], world.promotions)
+            self.assert_none_lost(world)
+
+        self.run_synchronous(scenario)
+
+
+class ConfigurationTest(Scenarios):
+    """The number of synchronous replicas changes, or is not reached."""
+
+    # Guards against commits that are lost because the holder of the duty has
+    # not read yet that the group replicates synchronously.
+    def test_a_holder_learns_the_configuration_from_others(self):
+        async def scenario(world):
+            late = world.holder().directory
+            activate_table = late.activate_table
+
+            def activate_told(table, source):
+                if source != "store":
+                    activate_table(table, source)
+
+            late.activate_table = activate_told
+            world.group.synchronous_replicas = 1
+            world.configure()
+            await self.lag(world, seconds=0.5)
+            await self.fail_over(world)
+
+        self.run_synchronous(scenario, synchronous_replicas=0)
+
+    # Guards against a failover that waits for a replica, although any other
+    # one has received each commit.
+    def test_any_replica_suffices_where_all_are_synchronous(self):
+        async def scenario(world):
+            self.check_promotions(world)
+            primary, busy, other = world.group.targets.values()
+            await self.write_for(world, 1.0)
+            busy.knobs.status_full = True
+            primary.knobs.dark = True
+            await self.wait_promotion(world, other, FAILOVER_S)
+            self.assert_none_lost(world)
+
+        self.run_synchronous(scenario, synchronous_replicas=2)
+
+    # Guards against a group without a primary, where more replicas are
+    # required than there are and nothing was ever acknowledged.
+    def test_more_synchronous_replicas_than_there_are(self):
+        async def scenario(world):
+            self.check_promotions(world)
+            world.group.primary.knobs.dark = True
+            await asyncio.sleep(FAILOVER_S)
+            self.assertNotEqual("ladder-1-1", world.group.primary.name)
+            self.assertEqual([], world.acknowledged)
+
+        self.run_synchronous(scenario, synchronous_replicas=3)
+
+    # Guards against a failover that goes on waiting for replicas once the
+    # group replicates asynchronously.
+    def test_an_asynchronous_group_awaits_nothing(self):
+        async def scenario(world):
+            primary, synced, behind = await self.lag(world)
+            world.group.synchronous_replicas = 0
+            world.configure()
+            await asyncio.sleep(1.0)
+            synced.knobs.status_full = True
+            primary.knobs.dark = True
+            await self.wait_promotion(world, behind, FAILOVER_S)
+
+        self.run_synchronous(scenario)
+
+
+class StatementsTest(Scenarios):
+    """Commits are acknowledged by statements of all kinds."""
+
+    # Guards against transactions and prepared statements whose commits are
+    # not told of.
+    def test_a_transaction_is_kept(self):
+        async def scenario(world):
+            await self.lag(world, seconds=0.0)
+            await self.commit_transaction(world, self.other_instance(world))
+            await self.fail_over(world)
+
+        self.run_synchronous(scenario)
+
+    # Guards against a group without a primary, as the outcome of a commit is
+    # not known to its caller either.
+    def test_a_commit_in_doubt_is_not_awaited(self):
+        async def scenario(world):
+            primary, synced, behind = await self.lag(world)
+            behind.knobs.deaf = False
+            world.group.replicate(primary)
+            await asyncio.sleep(1.0)
+            synced.knobs.deaf = behind.knobs.deaf = True
+            caller = world.caller(self.other_instance(world), "posts")
+            answer = await caller.write("item", "in doubt")
+            self.assertIs(statements.Problem.IN_DOUBT, answer.problem)
+            primary.knobs.dark = True
+            await asyncio.sleep(FAILOVER_S)
+            self.assertIsNot(primary, world.group.primary)
+            self.assert_none_lost(world)
+
+        self.run_synchronous(scenario)
+
+
+class WaitingTest(Scenarios):
+    """What callers see while a replica is awaited."""
+
+    # Guards against a group that never has a primary again because a listed
+    # replica that is not needed answers nothing.
+    def test_a_dead_replica_is_awaited_until_it_is_not_listed(self):
+        async def scenario(world):
+            self.check_promotions(world)
+            primary, dead, other = world.group.targets.values()
+            await self.write_for(world, 1.0)
+            dead.knobs.dark = True
+            name = self.other_instance(world)
+            await world.kill(name)
+            primary.knobs.dark = True
+            await asyncio.sleep(FAILOVER_S)
+            self.assertEqual([], world.promotions)
+            self.unlist(world, dead)
+            await self.wait_promotion(
+                world, other, successors.MAX_RETURN_WAIT_S + FAILOVER_S
+            )
+            self.assert_none_lost(world)
+
+        self.run_synchronous(scenario)
--- a/tests/controllers/test_successors.py
+++ b/tests/controllers/test_successors.py
@@ -4,62 +4,16 @@
 
 from balsamhinge.controllers import successors
 from balsamhinge import interfaces
-from tests.support import virtual
+from tests.support import synchronous
 
 __all__ = ["AcknowledgedCommitsTest"]
 
-# Time in which one replica alone receives what is acknowledged.
-LAG_S = 2.5
-# Longer than a failover in which all targets answer.
-FAILOVER_S = 5.0
+FAILOVER_S = synchronous.FAILOVER_S
 
 
-class AcknowledgedCommitsTest(virtual.FleetTestCase):
+class AcknowledgedCommitsTest(synchronous.SynchronousFleetTestCase):
     """A promoted target holds each commit that was acknowledged."""
 
-    def run_synchronous(self, scenario, **options):
-        """Run a scenario on a group that replicates synchronously."""
-        self.run_fleet(scenario, synchronous_replicas=1, **options)
-
-    async def lag(self, world):
-        """Acknowledge commits that one of two replicas receives.
-
-        Returns
-        -------
-        primary, synced, behind : ReplicaTarget
-            The primary, the replica that has received them, and the other
-            one.
-        """
-        self.check_promotions(world)
-        primary, synced, behind = world.group.targets.values()
-        # Both replicas hold commits of this term.
-        await self.write_for(world, 0.5)
-        behind.knobs.deaf = True
-        count = len(world.acknowledged)
-        await self.write_for(world, LAG_S)
-        self.assertGreater(len(world.acknowledged), count)
-        return primary, synced, behind
-
-    def check_promotions(self, world):
-        """Check each target that the platform is asked to promote."""
-        ask_promotion = world.group.ask_promotion
-
-        def check(name):
-            log = world.group.targets[name].log
-            held = {entry.request_id for entry in log}
-            for _at, request_id, _position in world.acknowledged:
-                if request_id not in held:
-                    self.lost.add(request_id)
-            ask_promotion(name)
-
-        self.lost = set()
-        world.group.ask_promotion = check
-
-    def assert_none_lost(self, world):
-        """Check that no promotion has lost an acknowledged commit."""
-        self.assertEqual(set(), self.lost)
-        self.assert_nothing_lost(world)
-
     # Guards against acknowledged commits that are lost in a failover because
     # the only replica that holds them is about to stop.
     def test_a_leaving_replica_that_alone_holds_commits_is_promoted(self):
@@ -156,7 +110,7 @@
             self.check_promotions(world)
             primary, dead, other = world.group.targets.values()
             dead.knobs.dark = True
-            await self.write_for(world, LAG_S)
+            await self.write_for(world, synchronous.LAG_S)
             primary.knobs.dark = True
             await asyncio.sleep(FAILOVER_S)
             self.assertIs(other, world.group.primary)
