Await no commit that was not acknowledged in a failover

Callers of a synchronous group had no primary for 15 s more than a failover takes, when a commit was on its way to the replicas as the primary crashed.

Cause: a primary answers with the end of its log, and that was taken for the position of the acknowledged commit. A later commit that the answer counts in may never have been received or acknowledged: no target holds it, so the change waited for one that does, and then gave it up.

Change: an instance keeps two bounds of the latest acknowledged commit (`LatestAcknowledged`). It lies after what the primary had when the commit was sent, and not beyond the position in the answer. A target must hold the first; the second one bounds what may have been acknowledged where other targets have not been heard. What is known of acknowledged commits moves from LeadersController to a controller of its own, which looks at the groups with synchronous replicas only.

Why it works: the first bound is certain, as a primary numbers its commits in order, so it never asks for more than was acknowledged.

Ruled out: going by the reports of all listed replicas alone; a replica that is not listed yet may hold more.

--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -331,6 +331,7 @@
         ]
         knowledge = leaders.book.last_read
         registered = leaders.registrations
+        acknowledged = fleet.acknowledged.told()
         lists_differ = (
             last_message is not None
             and last_message.members_key != registered.key
@@ -375,20 +376,17 @@
                 1e9, registered.found_age_s(receiver, now)
             ),
             configuration_proof=fleet.customers.describe_proof(now),
-            acknowledged=self._acknowledged(),
+            acknowledged={
+                group: latest.at_most for group, latest in acknowledged.items()
+            },
+            acknowledged_at_least={
+                group: latest.at_least
+                for group, latest in acknowledged.items()
+            },
             may_succeed=fleet.succession.may_succeed,
             relinquished=fleet.duty.relinquished,
         )
 
-    def _acknowledged(self):
-        """Return the latest acknowledged commits, by group."""
-        return {
-            name: self._fleet.leaders.acknowledged[name]
-            for name, limits in self._fleet.directory.table.groups.items()
-            if limits.synchronous_replicas
-            and name in self._fleet.leaders.acknowledged
-        }
-
     def _promise_of_all_s(self, receiver, now):
         """Return the seconds for which no other instance starts a change.
 
@@ -484,8 +482,7 @@
         self._merge_echoed_promise(message)
         for leadership in message.leaderships:
             self._fleet.leaders.merge_leadership(leadership, message.sender)
-        for group, position in message.acknowledged.items():
-            self._fleet.leaders.record_acknowledged(group, position)
+        self._fleet.acknowledged.merge_message(message)
         if message.members or message.removals:
             self._fleet.leaders.registrations.merge(
                 message.members,
--- a/balsamhinge/controllers/leaders.py
+++ b/balsamhinge/controllers/leaders.py
@@ -55,9 +55,6 @@
         instance has released the old primary.
     position_samples : dict of str to tuple
         By group, the epoch and the `PositionSamples` of its primary.
-    acknowledged : dict of str to LogPosition
-        By group, the latest commit that this instance, or another one as far
-        as it has told, has acknowledged to a caller.
     duty_record : DutyRecord or None
         The store's record of the holder of the promotion duty.
     challenge_record : ChallengeRecord or None
@@ -83,7 +80,6 @@
         self.boot_time = boot_time
         self.book = leases.PrimaryLeases()
         self.position_samples = {}
-        self.acknowledged = {}
         self.released = {}
         self.duty_record = None
         self.challenge_record = None
@@ -632,19 +628,6 @@
             )
         entry[1].record(asked_at, position)
 
-    def record_acknowledged(self, group, position):
-        """Record the position of an acknowledged commit.
-
-        Parameters
-        ----------
-        group : str
-            The group.
-        position : LogPosition
-            An earlier one than the latest known changes nothing.
-        """
-        known = self.acknowledged.get(group, positions.ORIGIN)
-        self.acknowledged[group] = max(known, position)
-
     def position_for_age(self, group, max_age_s):
         """Return the least position with which a read is recent enough.
 
--- a/balsamhinge/controllers/successors.py
+++ b/balsamhinge/controllers/successors.py
@@ -289,15 +289,14 @@
             requested, or the log of the chosen target is known to hold all
             acknowledged commits.
         """
-        synchronous_replicas = self._synchronous_replicas(leadership)
         stays = choice.target == leadership.target and (
             not leadership.successor
         )
-        if not synchronous_replicas or stays or choice.already_leads:
-            return choice, True
         evidence = self._collect_evidence(
-            leadership, survey.reports, synchronous_replicas, all_released
+            leadership, survey.reports, all_released
         )
+        if evidence is None or stays or choice.already_leads:
+            return choice, True
         names = [choice.target]
         if not orderly:
             excluded = survey.incomplete | {leadership.target}
@@ -309,25 +308,29 @@
                 return attrs.evolve(choice, target=name), True
         return choice, self._has_waited(leadership, choice, evidence)
 
-    def _collect_evidence(
-        self, leadership, reports, synchronous_replicas, all_released
-    ):
+    def _collect_evidence(self, leadership, reports, all_released):
+        """Return the `AcknowledgementEvidence` of a group, or None."""
+        fleet, group = self._fleet, leadership.group
+        synchronous_replicas = self._synchronous_replicas(leadership)
+        if not synchronous_replicas:
+            return None
         return acknowledgements.AcknowledgementEvidence(
             synchronous_replicas=synchronous_replicas,
             primary=leadership.target,
-            replicas=frozenset(
-                target.name
-                for target in self._fleet.directory.targets.values()
-                if target.group == leadership.group
-                and target.name != leadership.target
-            ),
+            replicas=self._listed(group) - {leadership.target},
             reports=reports,
-            told=self._fleet.leaders.acknowledged.get(
-                leadership.group, positions.ORIGIN
-            ),
+            told=fleet.acknowledged.latest(group),
             all_told=all_released,
         )
 
+    def _listed(self, group):
+        """Return the names of a group's listed targets."""
+        return frozenset(
+            target.name
+            for target in self._fleet.directory.targets.values()
+            if target.group == group
+        )
+
     def _has_waited(self, leadership, choice, evidence):
         """Return whether a change goes on although commits may be lost.
 
@@ -351,7 +354,7 @@
                 "commits_given_up" if is_over else "commits_awaited",
                 group=group,
                 target=choice.target,
-                acknowledged=evidence.told,
+                acknowledged=evidence.told.at_most,
                 bound=bound,
                 unheard=",".join(evidence.unheard),
                 waited_s=now - since,
@@ -387,11 +390,7 @@
         set of str
         """
         incomplete = failoverrules.find_incomplete(reports, term)
-        listed = {
-            target.name
-            for target in self._fleet.directory.targets.values()
-            if target.group == leadership.group
-        }
+        listed = self._listed(leadership.group)
         if not incomplete or listed <= incomplete:
             return set()
         event(
--- a/balsamhinge/fleet.py
+++ b/balsamhinge/fleet.py
@@ -5,6 +5,7 @@
 
 import logbook
 
+from balsamhinge.controllers import acknowledged
 from balsamhinge.controllers import clock
 from balsamhinge.controllers.customerlimits import controller as limits
 from balsamhinge.controllers.customers import controller as customers
@@ -127,6 +128,7 @@
         self.connection_loans = connectionloans.ConnectionLoanController(self)
         self.customer_limits = limits.CustomerLimitsController(self)
         self.table_sync = tablesync.TableSyncController(self)
+        self.acknowledged = acknowledged.AcknowledgedController(self)
         self.gossip = gossip.GossipController(self)
         self.sampling = sampling.SamplingController(self)
         self.duty = duty.DutyController(self)
--- a/balsamhinge/policy/acknowledgements.py
+++ b/balsamhinge/policy/acknowledgements.py
@@ -4,7 +4,52 @@
 
 from balsamhinge.policy import positions
 
-__all__ = ["AcknowledgementEvidence"]
+__all__ = [
+    "NONE_ACKNOWLEDGED",
+    "AcknowledgementEvidence",
+    "LatestAcknowledged",
+]
+
+
+@attrs.frozen
+class LatestAcknowledged:
+    """Where the latest acknowledged commit of a group lies in its log.
+
+    A primary answers with the end of its log, which may lie beyond the commit
+    that it acknowledges.
+
+    Parameters
+    ----------
+    at_least, at_most : LogPosition
+        The commit lies at one of these positions or between them.
+    """
+
+    at_least: positions.LogPosition = positions.ORIGIN
+    at_most: positions.LogPosition = positions.ORIGIN
+
+    @classmethod
+    def from_answer(cls, before, after):
+        """Return the bounds of a commit that a primary has answered.
+
+        Parameters
+        ----------
+        before : LogPosition
+            A position that the log had reached before the commit was sent.
+        after : LogPosition
+            The position in the answer.
+        """
+        offset = before.offset + 1 if before.term == after.term else 0
+        return cls(positions.LogPosition(after.term, offset), after)
+
+    def merge(self, other):
+        """Return the bounds of the later one of two commits."""
+        return LatestAcknowledged(
+            max(self.at_least, other.at_least),
+            max(self.at_most, other.at_most),
+        )
+
+
+NONE_ACKNOWLEDGED = LatestAcknowledged()
 
 
 @attrs.frozen
@@ -26,7 +71,7 @@
         included: they receive and count until they end.
     reports : dict of str to TargetReport
         Reports of the targets that answered, by name.
-    told : LogPosition
+    told : LatestAcknowledged
         Latest acknowledged commit that an instance has told of.
     all_told : bool
         Whether all instances that may have passed on an acknowledgement
@@ -37,7 +82,7 @@
     primary: str
     replicas: frozenset[str]
     reports: dict
-    told: positions.LogPosition
+    told: LatestAcknowledged
     all_told: bool
 
     @property
@@ -56,7 +101,7 @@
         """
         bounds = []
         if self.all_told:
-            bounds.append(self.told)
+            bounds.append(self.told.at_most)
         if self.primary in self.reports:
             bounds.append(self.reports[self.primary].received)
         if len(self.unheard) < self.synchronous_replicas:
@@ -70,8 +115,9 @@
     def holds_all(self, name):
         """Return whether a target's log holds every acknowledged commit.
 
-        A target that is no longer listed may hold more than all that are,
-        so the log must hold what instances have told of as well.
+        A target that is not listed yet, or has lost its log, may have
+        received more than all others report, so the log must hold what
+        instances have told of as well.
 
         Parameters
         ----------
@@ -83,5 +129,5 @@
             return False
         received = self.reports[name].received
         return positions.covers(received, bound) and positions.covers(
-            received, self.told
+            received, self.told.at_least
         )
--- a/balsamhinge/policy/gossipmessages.py
+++ b/balsamhinge/policy/gossipmessages.py
@@ -179,9 +179,10 @@
     receiver_found_age_s : float
         Age in seconds of the latest read of the store that the sender knows
         to have found the receiver's registration.
-    acknowledged : dict of str to LogPosition
-        By group with synchronous replicas, the latest acknowledged commit
-        that the sender knows of.
+    acknowledged, acknowledged_at_least : dict of str to LogPosition
+        By group with synchronous replicas, between which positions the
+        latest acknowledged commit that the sender knows of lies, see
+        `LatestAcknowledged`.
     may_succeed : bool
         Whether the sender could act on the promotion duty, as far as it
         knows.
@@ -224,5 +225,8 @@
     receiver_found_age_s: float = 1e9
     configuration_proof: configurationlease.ConfigurationProof | None = None
     acknowledged: dict[str, positions.LogPosition] = attrs.Factory(dict)
+    acknowledged_at_least: dict[str, positions.LogPosition] = attrs.Factory(
+        dict
+    )
     may_succeed: bool = True
     relinquished: int = 0
--- a/balsamhinge/sessions/session.py
+++ b/balsamhinge/sessions/session.py
@@ -526,14 +526,26 @@
         self._check_lease(conn)
         order = self._build_order(req.request_id, statement, prepared)
         self._commit_sent = True
+        before = self._fleet.leaders.last_position(conn.leadership)
         answer = await conn.execute(order, req.deadline)
         if answer.problem is None:
-            await self._record_commit(conn, answer, req.deadline)
+            await self._record_commit(conn, before, answer, req.deadline)
         return answer
 
-    async def _record_commit(self, conn, answer, deadline):
+    async def _record_commit(self, conn, before, answer, deadline):
         """Record the position of a commit that is certain to last.
 
+        Parameters
+        ----------
+        conn : LocalConnection or RemoteConnection
+            Connection on which it was sent.
+        before : LogPosition
+            Latest position of the primary that was known then.
+        answer : Answer
+            The target's answer.
+        deadline : float
+            Latest time of the answer, in loop seconds.
+
         Raises
         ------
         OutcomeUnknown
@@ -547,7 +559,9 @@
         if answer.position is not None:
             # Told to others with the release of the primary, so before the
             # caller learns that the commit has been made.
-            leaders.record_acknowledged(conn.leadership.group, answer.position)
+            self._fleet.acknowledged.record(
+                conn.leadership.group, before, answer.position
+            )
             self._committed_position = max(
                 self._committed_position, answer.position
             )
@@ -718,9 +732,12 @@
             ):
                 return self._aborted(req, "the primary's lease has lapsed")
             self._commit_sent = transaction.wrote
+            before = positions.ORIGIN
+            if transaction.wrote:
+                before = self._fleet.leaders.last_position(conn.leadership)
             answer = await self._execute_in_transaction(conn, order, req)
             if answer.problem is None and transaction.wrote:
-                await self._record_commit(conn, answer, req.deadline)
+                await self._record_commit(conn, before, answer, req.deadline)
         except exceptions.NotRunError as exc:
             return self._aborted(req, exc)
         except exceptions.TargetError as exc:
--- a/tests/controllers/test_acknowledgements.py
+++ b/tests/controllers/test_acknowledgements.py
@@ -255,6 +255,29 @@
 
         self.run_synchronous(scenario)
 
+    # Guards against a group without a primary, as a commit that nobody has
+    # acknowledged was sent together with one that was.
+    def test_a_commit_that_was_not_acknowledged_is_not_awaited(self):
+        async def scenario(world):
+            primary, synced, _behind = await self.lag(world)
+            wait_received = world.group.wait_received
+
+            async def append_another(position):
+                await wait_received(position)
+                world.group.wait_received = wait_received
+                synced.knobs.deaf = True
+                primary.append([("item", "lost")], "not acknowledged")
+
+            world.group.wait_received = append_another
+            await self.write_once(world, self.other_instance(world))
+            await asyncio.sleep(UNTOLD_S)
+            primary.knobs.dark = True
+            await self.wait_promotion(world, synced, FAILOVER_S)
+            synced.knobs.deaf = False
+            self.assert_none_lost(world)
+
+        self.run_synchronous(scenario)
+
     # Guards against a group without a primary, as the outcome of a commit is
     # not known to its caller either.
     def test_a_commit_in_doubt_is_not_awaited(self):
--- a/tests/policy/test_acknowledgements.py
+++ b/tests/policy/test_acknowledgements.py
@@ -7,7 +7,7 @@
 from balsamhinge.policy import positions
 from balsamhinge.policy import routes
 
-__all__ = ["AcknowledgementEvidenceTest"]
+__all__ = ["AcknowledgementEvidenceTest", "LatestAcknowledgedTest"]
 
 OLD = "target-1"
 FIRST = "target-2"
@@ -19,7 +19,12 @@
     return positions.LogPosition(term, offset)
 
 
-def make_evidence(received, told=0, all_told=False, synchronous_replicas=1):
+def make_evidence(
+    received,
+    told=0,
+    all_told=False,
+    synchronous_replicas=1,
+):
     """Return the evidence of a group with two replicas.
 
     Parameters
@@ -40,7 +45,9 @@
         primary=OLD,
         replicas=frozenset((FIRST, SECOND)),
         reports=reports,
-        told=position(told),
+        told=acknowledgements.LatestAcknowledged(
+            position(told), position(told)
+        ),
         all_told=all_told,
     )
 
@@ -92,3 +99,27 @@
         evidence.reports[SECOND] = later
         self.assertTrue(evidence.holds_all(SECOND))
         self.assertFalse(evidence.holds_all(FIRST))
+
+
+class LatestAcknowledgedTest(testtools.TestCase):
+    """A primary answers with the end of its log."""
+
+    def bounds(self, before, after):
+        """Return the bounds of a commit between two positions."""
+        return acknowledgements.LatestAcknowledged.from_answer(before, after)
+
+    # Guards against the wait for a commit that was never acknowledged, and
+    # that the answer to another one counted in.
+    def test_a_commit_lies_after_what_was_known_before(self):
+        latest = self.bounds(position(5), position(9))
+        self.assertEqual(position(6), latest.at_least)
+        self.assertEqual(position(9), latest.at_most)
+        merged = latest.merge(self.bounds(position(7), position(8)))
+        self.assertEqual(position(8), merged.at_least)
+        self.assertEqual(position(9), merged.at_most)
+
+    # Guards against a bound that no log reaches, as commits of an earlier
+    # primary were rolled back.
+    def test_a_position_of_an_earlier_term_bounds_the_term_alone(self):
+        latest = self.bounds(position(9), position(4, 2))
+        self.assertEqual(position(0, 2), latest.at_least)
--- a/tests/test_encodings.py
+++ b/tests/test_encodings.py
@@ -76,6 +76,7 @@
         "table_change.changed.*.public": False,
         "table_change.groups.*.synchronous_replicas": 0,
         "acknowledged": {},
+        "acknowledged_at_least": {},
         "may_succeed": True,
         "relinquished": 0,
     },
