Count what instances acknowledged before they ended

Callers of a synchronous group lost the last commits that an instance had acknowledged before it was killed, stopped or deregistered: 1 commit in four tests, all commits of 2.5 s where all instances had restarted.

Cause: what all instances have told bounds what may have been acknowledged once all have confirmed the release. An instance that has restarted confirms it as well, without what its earlier process acknowledged after its last message, and one that was deregistered is not asked.

Change: that bound is no lower than a position of the primary that was sampled after the processes of today were first heard, and after the leases of deregistered instances had ended. Without such a sample it does not count, and the change goes by the reports of the targets.

Why it works: a position that a primary tells covers everything that was acknowledged before it was asked, by whichever process.

Ruled out: telling others of each commit before it is acknowledged (a round trip between instances in each write).

--- a/balsamhinge/controllers/acknowledged.py
+++ b/balsamhinge/controllers/acknowledged.py
@@ -1,6 +1,7 @@
 """Tracks the latest commits that instances have acknowledged to callers."""
 
 from balsamhinge.policy import acknowledgements
+from balsamhinge.policy import leases
 
 __all__ = ["AcknowledgedController"]
 
@@ -22,9 +23,13 @@
         self._fleet = fleet
         # `LatestAcknowledged` by group.
         self._latest = {}
+        # By instance, its process and the boot-clock seconds since when that
+        # is known to run.
+        self._processes = {}
         # Table for which `_synchronous_groups` holds.
         self._table = None
         self._synchronous_groups = frozenset()
+        self._started_at = fleet.dependencies.boot_time()
 
     @property
     def synchronous_groups(self):
@@ -73,6 +78,20 @@
             self._latest[group] = self.latest(group).merge(
                 acknowledgements.LatestAcknowledged(at_least, at_most)
             )
+        process, _since = self._processes.get(message.sender, (None, 0.0))
+        if message.stamp is None:
+            self._processes.pop(message.sender, None)
+        elif process != message.stamp.process:
+            members = self._fleet.leaders.members
+            self._processes = {
+                name: known
+                for name, known in self._processes.items()
+                if name in members
+            }
+            self._processes[message.sender] = (
+                message.stamp.process,
+                self._fleet.dependencies.boot_time(),
+            )
 
     def told(self):
         """Return what this instance tells others.
@@ -86,3 +105,36 @@
             group: self._latest[group]
             for group in self.synchronous_groups & self._latest.keys()
         }
+
+    def upper_bound(self, group):
+        """Return a position that no acknowledged commit lies beyond.
+
+        All instances must have confirmed the release of the primary. What
+        they have told covers their present processes, and a position that
+        the primary had afterwards covers those that have ended.
+
+        Parameters
+        ----------
+        group : str
+            The group.
+
+        Returns
+        -------
+        LogPosition or None
+            None if an instance may not have told of all that it, or an
+            earlier process, has acknowledged.
+        """
+        fleet = self._fleet
+        # One that was deregistered may have had leases for some time.
+        ended_at = fleet.leaders.registrations.last_ended_at
+        since = max(self._started_at, ended_at + leases.EXTENDED_LEASE_S)
+        for name in fleet.leaders.other_names:
+            message = fleet.gossip.last_messages.get(name)
+            if message is None or name not in self._processes:
+                return None
+            _process, running_since = self._processes[name]
+            since = max(since, running_since)
+        position = fleet.leaders.position_since(group, since)
+        if position is None:
+            return None
+        return max(position, self.latest(group).at_most)
--- a/balsamhinge/controllers/leaders.py
+++ b/balsamhinge/controllers/leaders.py
@@ -648,6 +648,25 @@
             return None
         return entry[1].position_for_age(self.boot_time(), max_age_s)
 
+    def position_since(self, group, since):
+        """Return the first position that a primary reported since a time.
+
+        Parameters
+        ----------
+        group : str
+            The group.
+        since : float
+            Boot-clock seconds.
+
+        Returns
+        -------
+        LogPosition or None
+            It covers each commit that was acknowledged before that time;
+            None if no sample is that recent.
+        """
+        entry = self.position_samples.get(group)
+        return entry[1].first_since(since) if entry else None
+
     def position_age_s(self, group, position):
         """Return for how long the primary is known to have had a position.
 
--- a/balsamhinge/controllers/successors.py
+++ b/balsamhinge/controllers/successors.py
@@ -320,7 +320,9 @@
             replicas=self._listed(group) - {leadership.target},
             reports=reports,
             told=fleet.acknowledged.latest(group),
-            all_told=all_released,
+            told_by_all=fleet.acknowledged.upper_bound(group)
+            if all_released
+            else None,
         )
 
     def _listed(self, group):
--- a/balsamhinge/policy/acknowledgements.py
+++ b/balsamhinge/policy/acknowledgements.py
@@ -73,9 +73,9 @@
         Reports of the targets that answered, by name.
     told : LatestAcknowledged
         Latest acknowledged commit that an instance has told of.
-    all_told : bool
-        Whether all instances that may have passed on an acknowledgement
-        have told of theirs, and pass on no more.
+    told_by_all : LogPosition or None
+        A position that no acknowledged commit lies beyond, by what all
+        instances have told; None if that is not known of each of them.
     """
 
     synchronous_replicas: int
@@ -83,7 +83,7 @@
     replicas: frozenset[str]
     reports: dict
     told: LatestAcknowledged
-    all_told: bool
+    told_by_all: positions.LogPosition | None
 
     @property
     def unheard(self):
@@ -100,8 +100,8 @@
             that have not been heard.
         """
         bounds = []
-        if self.all_told:
-            bounds.append(self.told.at_most)
+        if self.told_by_all is not None:
+            bounds.append(self.told_by_all)
         if self.primary in self.reports:
             bounds.append(self.reports[self.primary].received)
         if len(self.unheard) < self.synchronous_replicas:
--- a/balsamhinge/policy/registrations.py
+++ b/balsamhinge/policy/registrations.py
@@ -291,6 +291,17 @@
             if name not in self.records
         ]
 
+    @property
+    def last_ended_at(self):
+        """Boot-clock seconds at which a registration was last seen to end.
+
+        Minus infinite if none has for as long as they are remembered.
+        """
+        return max(
+            (ended.ended_at for ended in self._ended.values()),
+            default=float("-inf"),
+        )
+
     def since(self, revision):
         """Return the records that are later than a revision of the store."""
         if revision >= self._latest_revision:
--- a/balsamhinge/policy/samples.py
+++ b/balsamhinge/policy/samples.py
@@ -92,7 +92,22 @@
         LogPosition or None
             None if no sample is recent enough.
         """
-        index = bisect.bisect_left(self._times, now - max_age_s)
+        return self.first_since(now - max_age_s)
+
+    def first_since(self, since):
+        """Return the position of the first sample that is not older.
+
+        Parameters
+        ----------
+        since : float
+            Boot-clock seconds.
+
+        Returns
+        -------
+        LogPosition or None
+            None if no sample is that recent.
+        """
+        index = bisect.bisect_left(self._times, since)
         if index == len(self._times):
             return None
         return self._positions[index]
--- a/tests/controllers/test_acknowledgements.py
+++ b/tests/controllers/test_acknowledgements.py
@@ -2,7 +2,11 @@
 
 import asyncio
 
+from balsamhinge.controllers import storedrecords
 from balsamhinge.controllers import successors
+from balsamhinge import interfaces
+from balsamhinge.policy import leases
+from balsamhinge.policy import registrations
 from balsamhinge.policy import statements
 from tests.support import synchronous
 
@@ -65,6 +69,19 @@
 
         self.run_synchronous(scenario)
 
+    # Guards against a commit that only a killed instance had told of, as its
+    # next process confirms the release without knowing it.
+    def test_a_commit_of_a_restarted_instance_is_kept(self):
+        async def scenario(world):
+            await self.lag(world, seconds=0.0)
+            name = self.other_instance(world)
+            await self.write_once(world, name)
+            await asyncio.sleep(UNTOLD_S)
+            await self.restart(world, name)
+            await self.fail_over(world)
+
+        self.run_synchronous(scenario)
+
     # Guards against the same where the instance stays away.
     def test_a_commit_of_a_killed_instance_is_kept(self):
         async def scenario(world):
@@ -76,6 +93,51 @@
 
         self.run_synchronous(scenario)
 
+    # Guards against the same once that instance is deregistered.
+    def test_a_commit_of_a_deregistered_instance_is_kept(self):
+        async def scenario(world):
+            await self.lag(world, seconds=0.0)
+            name = self.other_instance(world)
+            await self.write_once(world, name)
+            await world.kill(name)
+            await asyncio.sleep(registrations.MEMBER_EXPIRY_S + 12.0)
+            await self.fail_over(world)
+
+        self.run_synchronous(scenario)
+
+    # Guards against the same where it goes on for as long as its lease lasts.
+    def test_a_commit_after_the_deregistration_is_kept(self):
+        async def scenario(world):
+            await self.lag(world, seconds=0.0)
+            name = self.other_instance(world)
+            key = storedrecords.member_key(name)
+            world.records.knobs.cut.add(name)
+            self.cut_off(world, name)
+            world.records.drop(interfaces.LEADERS, key)
+            leaders = world.holder().leaders
+            while name in leaders.members:
+                await asyncio.sleep(UNTOLD_S)
+            ended_at = leaders.registrations.last_ended_at
+            while not leaders.position_since(world.group.name, ended_at):
+                await asyncio.sleep(UNTOLD_S)
+            await self.write_once(world, name)
+            await world.kill(name)
+            await self.fail_over(world, leases.EXTENDED_LEASE_S + BUSY_S)
+
+        self.run_synchronous(scenario)
+
+    # Guards against the same where all instances are killed at once.
+    def test_commits_of_instances_that_all_restart_are_kept(self):
+        async def scenario(world):
+            await self.lag(world)
+            for name in list(world.fleets):
+                await self.restart(world, name)
+            # No instance counts any other as recently deregistered.
+            await asyncio.sleep(15.0)
+            await self.fail_over(world)
+
+        self.run_synchronous(scenario)
+
     # Guards against the same where they restart one after the other.
     def test_commits_survive_a_rolling_restart(self):
         async def scenario(world):
@@ -89,6 +151,24 @@
 
         self.run_synchronous(scenario)
 
+    # Guards against the same where an instance stops in an orderly way and
+    # acknowledges a last commit after it has said so.
+    def test_a_commit_of_a_stopping_instance_is_kept(self):
+        async def scenario(world):
+            await self.lag(world, seconds=0.0)
+            name = self.other_instance(world)
+            stopping = world.fleets[name]
+            caller = world.caller(name, "posts")
+            stopping.stopping = True
+            await stopping.gossip.announce_stop()
+            answer = await caller.write("item", "last")
+            self.assertIsNone(answer.problem)
+            await asyncio.sleep(UNTOLD_S)
+            await self.restart(world, name)
+            await self.fail_over(world)
+
+        self.run_synchronous(scenario)
+
     # Guards against the same where the instance that acknowledged is cut off.
     def test_a_commit_of_an_isolated_instance_is_kept(self):
         async def scenario(world):
--- a/tests/policy/test_acknowledgements.py
+++ b/tests/policy/test_acknowledgements.py
@@ -48,7 +48,7 @@
         told=acknowledgements.LatestAcknowledged(
             position(told), position(told)
         ),
-        all_told=all_told,
+        told_by_all=position(told) if all_told else None,
     )
 
 
