Count no instance that does not know its synchronous groups

Callers lost commits that an instance had acknowledged which did not have the latest configuration yet.

Cause: an instance tells of acknowledged commits only for the groups that it knows as synchronous. One with an earlier configuration told of none, and was counted as one that had acknowledged none.

Evidence: test_an_instance_with_an_old_configuration_is_not_counted fails before.

Change: what instances have told counts only if all of them go by the configuration of the one that chooses; otherwise the reports of the targets decide. Ruled out: telling of all groups (a position for each of up to 11,000 groups in each message).

Result: the test passes, and all others of the two modules.

--- a/balsamhinge/controllers/acknowledged.py
+++ b/balsamhinge/controllers/acknowledged.py
@@ -132,6 +132,9 @@
             message = fleet.gossip.last_messages.get(name)
             if message is None or name not in self._processes:
                 return None
+            if message.table_version != fleet.directory.table.version:
+                # It may count the group as an asynchronous one.
+                return None
             _process, running_since = self._processes[name]
             since = max(since, running_since)
         position = fleet.leaders.position_since(group, since)
--- a/tests/controllers/test_acknowledgements.py
+++ b/tests/controllers/test_acknowledgements.py
@@ -262,6 +262,23 @@
 class ConfigurationTest(Scenarios):
     """The number of synchronous replicas changes, or is not reached."""
 
+    # Guards against commits that are lost because an instance without the
+    # latest configuration does not tell of them.
+    def test_an_instance_with_an_old_configuration_is_not_counted(self):
+        async def scenario(world):
+            name = self.other_instance(world)
+            late = world.fleets[name].directory
+            late.activate_table = lambda table, source: None
+            world.group.synchronous_replicas = 1
+            world.configure()
+            await asyncio.sleep(1.0)
+            await self.lag(world, seconds=0.0)
+            await self.write_once(world, name)
+            await asyncio.sleep(1.0)
+            await self.fail_over(world)
+
+        self.run_synchronous(scenario, synchronous_replicas=0)
+
     # Guards against commits that are lost because the holder of the duty has
     # not read yet that the group replicates synchronously.
     def test_a_holder_learns_the_configuration_from_others(self):
