Go by an old primary only while it has its log

Callers of a synchronous group lost all acknowledged commits when the old primary came back without its log while the replica that held them was busy: it was taken back as the primary. The same when it came back as a replica.

Cause: the report of the old primary was taken for a bound of what it had acknowledged, and it was reinstated, whatever its log held.

Evidence: test_an_emptied_primary_bounds_nothing fails before, with either role: the primary without a log goes on, or the lagging replica is promoted.

Change: the report counts only of a primary whose log reaches the latest position that it is known to have had, and what instances have acknowledged. One that has lost a part is reinstated only after the wait for a target that holds more, and then as the fullest log there is (test_an_old_primary_that_lost_a_part_is_taken_in_the_end).

--- a/balsamhinge/controllers/successors.py
+++ b/balsamhinge/controllers/successors.py
@@ -43,12 +43,16 @@
         Targets that lack what another one may still hold.
     reports : dict of str to TargetReport
         Reports of the targets that answered, by name.
+    evidence : AcknowledgementEvidence or None
+        What is known of acknowledged commits; None for a group without
+        synchronous replicas.
     """
 
     old: routes.ServingTarget | None
     leaving: frozenset[str]
     incomplete: set
     reports: dict
+    evidence: acknowledgements.AcknowledgementEvidence | None
 
 
 @attrs.frozen
@@ -153,13 +157,25 @@
         started_at = clock.now()
         led_term = self._known_term(leadership)
         while True:
-            survey = await self._ask(leadership, led_term)
+            survey = await self._ask(leadership, led_term, all_released)
             choice = self._select(
                 leadership, survey, led_term, orderly, reinstatable
             )
             choice, holds_all = self._protect_acknowledged(
-                leadership, survey, choice, orderly, all_released
+                leadership, survey, choice, orderly
             )
+            if not holds_all and self._has_waited(leadership, survey, choice):
+                choice, holds_all = (
+                    self._select(
+                        leadership,
+                        survey,
+                        led_term,
+                        orderly,
+                        reinstatable,
+                        any_log=True,
+                    ),
+                    True,
+                )
             timed_out = clock.now() - started_at > CATCH_UP_TIMEOUT_S
             if choice.target is None and (holds_all or timed_out):
                 return choice
@@ -178,7 +194,7 @@
                 )
             await clock.pause(POLL_INTERVAL_S)
 
-    async def _ask(self, leadership, led_term):
+    async def _ask(self, leadership, led_term, all_released):
         """Return the `_Survey` of a group."""
         targets = self.candidates(leadership, orderly=False)
         old = self._fleet.directory.targets.get(leadership.target)
@@ -190,10 +206,25 @@
             frozenset(target.name for target in targets if target.leaving),
             self._find_incomplete(leadership, reports, led_term),
             reports,
+            self._collect_evidence(leadership, reports, all_released),
         )
 
-    def _select(self, leadership, survey, led_term, orderly, reinstatable):
-        """Return the `PrimaryChoice` among the targets that stay."""
+    def _select(
+        self,
+        leadership,
+        survey,
+        led_term,
+        orderly,
+        reinstatable,
+        any_log=False,
+    ):
+        """Return the `PrimaryChoice` among the targets that stay.
+
+        An old primary that has lost acknowledged commits is chosen only with
+        `any_log`.
+        """
+        evidence = survey.evidence
+        lost_log = evidence is not None and evidence.has_primary_lost_log
         reports = survey.reports
         term = max((r.term for r in reports.values()), default=0)
         excluded = survey.leaving | survey.incomplete
@@ -203,6 +234,7 @@
             and not orderly
             and not survey.old.leaving
             and reinstatable()
+            and (any_log or not lost_log)
         )
         if not eligible:
             excluded |= {leadership.target}
@@ -275,9 +307,7 @@
         # without a reachable primary.
         return attrs.evolve(choice, target=leadership.target)
 
-    def _protect_acknowledged(
-        self, leadership, survey, choice, orderly, all_released
-    ):
+    def _protect_acknowledged(self, leadership, survey, choice, orderly):
         """Keep a target without acknowledged commits from being promoted.
 
         Returns
@@ -289,12 +319,10 @@
             requested, or the log of the chosen target is known to hold all
             acknowledged commits.
         """
+        evidence = survey.evidence
         stays = choice.target == leadership.target and (
             not leadership.successor
         )
-        evidence = self._collect_evidence(
-            leadership, survey.reports, all_released
-        )
         if evidence is None or stays or choice.already_leads:
             return choice, True
         names = [choice.target]
@@ -306,7 +334,7 @@
         for name in names:
             if name is not None and evidence.holds_all(name):
                 return attrs.evolve(choice, target=name), True
-        return choice, self._has_waited(leadership, choice, evidence)
+        return choice, False
 
     def _collect_evidence(self, leadership, reports, all_released):
         """Return the `AcknowledgementEvidence` of a group, or None."""
@@ -317,6 +345,7 @@
         return acknowledgements.AcknowledgementEvidence(
             synchronous_replicas=synchronous_replicas,
             primary=leadership.target,
+            last_position=fleet.leaders.last_position(leadership),
             replicas=self._listed(group) - {leadership.target},
             reports=reports,
             told=fleet.acknowledged.latest(group),
@@ -333,13 +362,13 @@
             if target.group == group
         )
 
-    def _has_waited(self, leadership, choice, evidence):
+    def _has_waited(self, leadership, survey, choice):
         """Return whether a change goes on although commits may be lost.
 
         It does once the targets that may hold them are no longer listed and
         have not come back in time. A listed one is awaited for any time.
         """
-        group, now = leadership.group, clock.now()
+        group, now, evidence = leadership.group, clock.now(), survey.evidence
         epoch, since = self._missing_since.get(group, (None, now))
         if epoch != leadership.epoch:
             since = now
--- a/balsamhinge/policy/acknowledgements.py
+++ b/balsamhinge/policy/acknowledgements.py
@@ -3,6 +3,7 @@
 import attrs
 
 from balsamhinge.policy import positions
+from balsamhinge.policy import routes
 
 __all__ = [
     "NONE_ACKNOWLEDGED",
@@ -66,6 +67,8 @@
         Replicas that have received a commit when it is acknowledged.
     primary : str
         Name of the old primary.
+    last_position : LogPosition
+        Latest position that the old primary is known to have had.
     replicas : frozenset of str
         Names of the other targets that are listed, those about to stop
         included: they receive and count until they end.
@@ -80,6 +83,7 @@
 
     synchronous_replicas: int
     primary: str
+    last_position: positions.LogPosition
     replicas: frozenset[str]
     reports: dict
     told: LatestAcknowledged
@@ -90,6 +94,18 @@
         """Names of the replicas without a report, sorted."""
         return sorted(self.replicas - self.reports.keys())
 
+    @property
+    def has_primary_lost_log(self):
+        """Whether the old primary reports less than it is known to have had.
+
+        It may come back without its log.
+        """
+        report = self.reports.get(self.primary)
+        return report is not None and not (
+            report.received >= self.last_position
+            and positions.covers(report.received, self.told.at_least)
+        )
+
     def upper_bound(self):
         """Return a position that no acknowledged commit lies beyond.
 
@@ -102,8 +118,12 @@
         bounds = []
         if self.told_by_all is not None:
             bounds.append(self.told_by_all)
-        if self.primary in self.reports:
-            bounds.append(self.reports[self.primary].received)
+        old = self.reports.get(self.primary)
+        # As a replica it has followed another primary since, so that its log
+        # is no longer what it was.
+        if old is not None and old.role is routes.TargetRole.PRIMARY:
+            if not self.has_primary_lost_log:
+                bounds.append(old.received)
         if len(self.unheard) < self.synchronous_replicas:
             received = [
                 self.reports[name].received
--- a/balsamhinge/standins/replicas.py
+++ b/balsamhinge/standins/replicas.py
@@ -121,6 +121,7 @@
         # How often statements were refused, by problem.
         self.refused = collections.Counter()
         self.role = Role.REPLICA
+        self.born_ms = 1
         self.term = 1
         self.log = []
         self.applied = 0
@@ -185,6 +186,11 @@
     def _apply(self, length):
         self.applied = max(self.applied, min(length, len(self.log)))
 
+    def restart_empty(self):
+        """Start again without the log."""
+        self.log, self.applied = [], 0
+        self.born_ms += 1
+
     def entry(self):
         """Return what the target says of itself."""
         return routes.ServingTarget(
@@ -195,6 +201,7 @@
             slots=self.slots,
             leaving=False,
             role=self.role,
+            born_ms=self.born_ms,
         )
 
 
--- a/tests/controllers/test_acknowledgements.py
+++ b/tests/controllers/test_acknowledgements.py
@@ -7,6 +7,7 @@
 from balsamhinge import interfaces
 from balsamhinge.policy import leases
 from balsamhinge.policy import registrations
+from balsamhinge.policy import routes
 from balsamhinge.policy import statements
 from tests.support import synchronous
 
@@ -243,6 +244,51 @@
 class ReturningTargetsTest(Scenarios):
     """Targets leave the list and come back, with other logs than before."""
 
+    # Guards against commits that are lost because an old primary that comes
+    # back without its log counts as an answer of what there was.
+    def test_an_emptied_primary_bounds_nothing(self):
+        for role in (routes.TargetRole.PRIMARY, routes.TargetRole.REPLICA):
+
+            async def scenario(world, role=role):
+                primary, synced, behind = await self.lag(world)
+                synced.knobs.status_full = True
+                primary.knobs.dark = True
+                await asyncio.sleep(FAILOVER_S)
+                primary.restart_empty()
+                world.list_targets()
+                primary.role = role
+                primary.knobs.dark = False
+                await asyncio.sleep(FAILOVER_S)
+                self.assertEqual([], world.promotions)
+                synced.knobs.status_full = False
+                await self.wait_promotion(world, synced, FAILOVER_S)
+                await self.write_for(world, 1.0)
+                self.assert_none_lost(world)
+
+            self.run_synchronous(scenario)
+
+    # Guards against the loss of more commits than need be, once those that no
+    # target returns with are given up.
+    def test_an_old_primary_that_lost_a_part_is_taken_in_the_end(self):
+        async def scenario(world):
+            primary, synced, _behind = await self.lag(world)
+            primary.knobs.dark = synced.knobs.dark = True
+            self.unlist(world, synced)
+            await asyncio.sleep(FAILOVER_S)
+            del primary.log[-5:]
+            primary.applied = len(primary.log)
+            primary.knobs.dark = False
+            await asyncio.sleep(FAILOVER_S)
+            latest = world.holder().leaders.latest(world.group.name)
+            self.assertTrue(latest.changing)
+            await asyncio.sleep(successors.MAX_RETURN_WAIT_S)
+            latest = world.holder().leaders.latest(world.group.name)
+            self.assertFalse(latest.changing)
+            self.assertEqual(primary.name, latest.target)
+            self.assertEqual([], world.promotions)
+
+        self.run_synchronous(scenario)
+
     # Guards against a change that goes on without the old primary, which is
     # back with all commits.
     def test_an_old_primary_that_returns_goes_on(self):
--- a/tests/policy/test_acknowledgements.py
+++ b/tests/policy/test_acknowledgements.py
@@ -24,6 +24,8 @@
     told=0,
     all_told=False,
     synchronous_replicas=1,
+    last=0,
+    role=routes.TargetRole.PRIMARY,
 ):
     """Return the evidence of a group with two replicas.
 
@@ -33,16 +35,24 @@
         Last entry received, by target that answers.
     told : int
         Latest acknowledged entry that an instance has told of.
+    last : int
+        Latest entry that the old primary is known to have had.
+    role : TargetRole
+        Role that the old primary reports.
     """
     reports = {
         name: interfaces.TargetReport(
-            routes.TargetRole.REPLICA, 1, position(offset), position(offset)
+            role if name == OLD else routes.TargetRole.REPLICA,
+            1,
+            position(offset) if offset else positions.ORIGIN,
+            position(offset),
         )
         for name, offset in received.items()
     }
     return acknowledgements.AcknowledgementEvidence(
         synchronous_replicas=synchronous_replicas,
         primary=OLD,
+        last_position=position(last),
         replicas=frozenset((FIRST, SECOND)),
         reports=reports,
         told=acknowledgements.LatestAcknowledged(
@@ -100,6 +110,19 @@
         self.assertTrue(evidence.holds_all(SECOND))
         self.assertFalse(evidence.holds_all(FIRST))
 
+    # Guards against the loss of commits as an old primary that has lost its
+    # log, or has followed another one, counts as an answer.
+    def test_an_old_primary_without_its_log_bounds_nothing(self):
+        evidence = make_evidence({OLD: 3, FIRST: 5}, last=9)
+        self.assertTrue(evidence.has_primary_lost_log)
+        self.assertFalse(evidence.holds_all(FIRST))
+        evidence = make_evidence({OLD: 3, FIRST: 5}, told=4)
+        self.assertTrue(evidence.has_primary_lost_log)
+        evidence = make_evidence(
+            {OLD: 5, FIRST: 5}, role=routes.TargetRole.REPLICA
+        )
+        self.assertFalse(evidence.holds_all(FIRST))
+
 
 class LatestAcknowledgedTest(testtools.TestCase):
     """A primary answers with the end of its log."""
