Count replicas that have just left the list as unheard

Callers of a synchronous group lost commits that a replica held which was not listed for a moment, or that had restarted without its log, if the instance that had acknowledged them was killed.

Cause: a commit is in the log of some replica unless fewer than the synchronous ones are unheard. Only the listed replicas were counted, and any report, also of an empty log.

Evidence: three tests fail before (listed late; the same seen by a holder of the duty that has just joined; an emptied replica).

Instances of a synchronous group tell each other of such replicas.

Not covered: all instances restart while such a replica is away. Nothing but the list is known then.

--- a/balsamhinge/controllers/directory.py
+++ b/balsamhinge/controllers/directory.py
@@ -258,6 +258,9 @@
         self._missing = {}
         # Last entries of targets that have left, and when they were dropped.
         self._left = {}
+        # Last entries of targets that are no longer listed or have started
+        # again, and the loop seconds at which that was seen, by name.
+        self._unsettled = {}
         # Latest entries from before a restore of the store, and until when
         # they count: by then each target has written its entry again.
         self._before_restore = {}
@@ -462,6 +465,9 @@
         }
         for name, target in listed.items():
             current = self.targets.get(name)
+            known = current or self._unsettled.get(name, (None, 0.0))[0]
+            if known is not None and known.born_ms != target.born_ms:
+                self._unsettled[name] = target, now
             if current != target:
                 event(
                     log.info,
@@ -504,6 +510,11 @@
             for name, (left, at) in self._left.items()
             if now - at < LEFT_RETENTION_S
         }
+        self._unsettled = {
+            name: (target, at)
+            for name, (target, at) in self._unsettled.items()
+            if now - at < LEFT_RETENTION_S
+        }
         if self._before_restore and now >= self._restore_ends_at:
             self._before_restore = {}
             self.merge_targets(self.targets_as_of, self.target_entries)
@@ -526,6 +537,7 @@
                 if missing.target.leaving:
                     self._left[name] = missing.target, now
                 self.targets.pop(name, None)
+                self._unsettled[name] = missing.target, now
 
     def leaving_s(self, name):
         """Return for how long a target is known to be about to stop.
@@ -543,6 +555,28 @@
         now = clock.now()
         return now - self._leaving_since.get(name, now)
 
+    def unsettled_targets(self, group, within_s):
+        """Return the targets of a group that left or restarted recently.
+
+        Parameters
+        ----------
+        group : str
+            The group.
+        within_s : float
+            Seconds since a target was dropped from the list, or was seen to
+            have started again; at most `LEFT_RETENTION_S`.
+
+        Returns
+        -------
+        frozenset of str
+        """
+        now = clock.now()
+        return frozenset(
+            name
+            for name, (target, at) in self._unsettled.items()
+            if target.group == group and now - at < within_s
+        )
+
     def active_targets(self, group):
         """Return the targets of a group that accept new work."""
         return [
--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -383,6 +383,7 @@
                 group: latest.at_least
                 for group, latest in acknowledged.items()
             },
+            unsettled=fleet.failover.successors.told_unsettled(),
             may_succeed=fleet.succession.may_succeed,
             relinquished=fleet.duty.relinquished,
         )
--- a/balsamhinge/controllers/successors.py
+++ b/balsamhinge/controllers/successors.py
@@ -342,11 +342,18 @@
         synchronous_replicas = self._synchronous_replicas(leadership)
         if not synchronous_replicas:
             return None
+        unsettled = self._unsettled(group).union(
+            *(
+                message.unsettled.get(group, ())
+                for message in fleet.gossip.last_messages.values()
+            )
+        )
         return acknowledgements.AcknowledgementEvidence(
             synchronous_replicas=synchronous_replicas,
             primary=leadership.target,
             last_position=fleet.leaders.last_position(leadership),
-            replicas=self._listed(group) - {leadership.target},
+            replicas=(self._listed(group) | unsettled) - {leadership.target},
+            unsettled=unsettled,
             reports=reports,
             told=fleet.acknowledged.latest(group),
             told_by_all=fleet.acknowledged.upper_bound(group)
@@ -354,6 +361,29 @@
             else None,
         )
 
+    def _unsettled(self, group):
+        return self._fleet.directory.unsettled_targets(
+            group, MAX_RETURN_WAIT_S
+        )
+
+    def told_unsettled(self):
+        """Return the targets of which this instance tells others.
+
+        An instance that has just joined does not know of a target that left
+        before.
+
+        Returns
+        -------
+        dict of str to list of str
+            By group with synchronous replicas, the names of targets that
+            have left the list or started again recently.
+        """
+        return {
+            group: sorted(names)
+            for group in self._fleet.acknowledged.synchronous_groups
+            if (names := self._unsettled(group))
+        }
+
     def _listed(self, group):
         """Return the names of a group's listed targets."""
         return frozenset(
--- a/balsamhinge/policy/acknowledgements.py
+++ b/balsamhinge/policy/acknowledgements.py
@@ -70,8 +70,10 @@
     last_position : LogPosition
         Latest position that the old primary is known to have had.
     replicas : frozenset of str
-        Names of the other targets that are listed, those about to stop
-        included: they receive and count until they end.
+        Names of the other targets that are listed or were until recently,
+        those about to stop included: they receive and count until they end.
+    unsettled : frozenset of str
+        Those that have left the list or started again recently.
     reports : dict of str to TargetReport
         Reports of the targets that answered, by name.
     told : LatestAcknowledged
@@ -85,14 +87,26 @@
     primary: str
     last_position: positions.LogPosition
     replicas: frozenset[str]
+    unsettled: frozenset[str]
     reports: dict
     told: LatestAcknowledged
     told_by_all: positions.LogPosition | None
 
     @property
     def unheard(self):
-        """Names of the replicas without a report, sorted."""
-        return sorted(self.replicas - self.reports.keys())
+        """Sorted names of the replicas that do not report what they received.
+
+        One that has started again may have lost its log.
+        """
+        return sorted(
+            name
+            for name in self.replicas
+            if name not in self.reports
+            or (
+                name in self.unsettled
+                and self.reports[name].received.term < self.last_position.term
+            )
+        )
 
     @property
     def has_primary_lost_log(self):
--- a/balsamhinge/policy/gossipmessages.py
+++ b/balsamhinge/policy/gossipmessages.py
@@ -183,6 +183,9 @@
         By group with synchronous replicas, between which positions the
         latest acknowledged commit that the sender knows of lies, see
         `LatestAcknowledged`.
+    unsettled : dict of str to list of str
+        By group with synchronous replicas, targets that have left the list
+        or started again recently, as far as the sender has seen it.
     may_succeed : bool
         Whether the sender could act on the promotion duty, as far as it
         knows.
@@ -228,5 +231,6 @@
     acknowledged_at_least: dict[str, positions.LogPosition] = attrs.Factory(
         dict
     )
+    unsettled: dict[str, list[str]] = attrs.Factory(dict)
     may_succeed: bool = True
     relinquished: int = 0
--- a/tests/controllers/test_acknowledgements.py
+++ b/tests/controllers/test_acknowledgements.py
@@ -244,6 +244,77 @@
 class ReturningTargetsTest(Scenarios):
     """Targets leave the list and come back, with other logs than before."""
 
+    # Guards against a commit that is lost because the replica that holds it
+    # is not listed for a moment, and nobody knows of the commit any more.
+    def test_a_replica_that_is_listed_late_is_awaited(self):
+        async def scenario(world):
+            primary, synced, _behind = await self.lag(world, seconds=0.0)
+            name = self.other_instance(world)
+            await self.write_once(world, name)
+            await self.restart(world, name)
+            primary.knobs.dark = synced.knobs.dark = True
+            self.unlist(world, synced)
+            await asyncio.sleep(BUSY_S)
+            self.assertEqual([], world.promotions)
+            synced.knobs.dark = False
+            world.list_targets()
+            await self.wait_promotion(world, synced, FAILOVER_S)
+            await self.write_for(world, 1.0)
+            self.assert_none_lost(world)
+
+        self.run_synchronous(scenario)
+
+    # Guards against the same where the holder of the duty has started again
+    # and never saw that replica in the list.
+    def test_a_holder_that_has_just_joined_awaits_it_too(self):
+        async def scenario(world):
+            primary, synced, _behind = await self.lag(world, seconds=0.0)
+            name = world.holder().me.name
+            await self.write_once(world, name)
+            member = world.fleets[name].me
+            await world.kill(name)
+            primary.knobs.dark = synced.knobs.dark = True
+            self.unlist(world, synced)
+            await asyncio.sleep(UNTOLD_S)
+            world.start_instance(member)
+            await asyncio.sleep(BUSY_S)
+            self.assertEqual([], world.promotions)
+            synced.knobs.dark = False
+            world.list_targets()
+            await self.wait_promotion(world, synced, FAILOVER_S)
+            await self.write_for(world, 1.0)
+            self.assert_none_lost(world)
+
+        self.run_synchronous(scenario)
+
+    # Guards against commits that are lost because an empty log counts as an
+    # answer that nothing more was received.
+    def test_an_emptied_replica_counts_as_unheard(self):
+        async def scenario(world):
+            primary, synced, behind = await self.lag(world, seconds=0.0)
+            name = self.other_instance(world)
+            await self.write_once(world, name)
+            await self.restart(world, name)
+            primary.knobs.dark = synced.knobs.deaf = True
+            synced.restart_empty()
+            world.list_targets()
+            await asyncio.sleep(BUSY_S)
+            self.assertEqual([], world.promotions)
+            # The old primary comes back with its log.
+            primary.knobs.dark = False
+            await asyncio.sleep(FAILOVER_S)
+            self.assertIs(primary, world.group.primary)
+            await self.lift(world)
+
+        self.run_synchronous(scenario)
+
+    async def lift(self, world):
+        """Let all receive again, and check that nothing is lost."""
+        for target in world.group.targets.values():
+            target.knobs.deaf = False
+        await self.write_for(world, 1.0)
+        self.assert_none_lost(world)
+
     # Guards against commits that are lost because an old primary that comes
     # back without its log counts as an answer of what there was.
     def test_an_emptied_primary_bounds_nothing(self):
--- a/tests/policy/test_acknowledgements.py
+++ b/tests/policy/test_acknowledgements.py
@@ -25,6 +25,7 @@
     all_told=False,
     synchronous_replicas=1,
     last=0,
+    unsettled=(),
     role=routes.TargetRole.PRIMARY,
 ):
     """Return the evidence of a group with two replicas.
@@ -37,6 +38,8 @@
         Latest acknowledged entry that an instance has told of.
     last : int
         Latest entry that the old primary is known to have had.
+    unsettled : iterable of str
+        Targets that have left the list or started again.
     role : TargetRole
         Role that the old primary reports.
     """
@@ -53,6 +56,7 @@
         synchronous_replicas=synchronous_replicas,
         primary=OLD,
         last_position=position(last),
+        unsettled=frozenset(unsettled),
         replicas=frozenset((FIRST, SECOND)),
         reports=reports,
         told=acknowledgements.LatestAcknowledged(
@@ -123,6 +127,15 @@
         )
         self.assertFalse(evidence.holds_all(FIRST))
 
+    # Guards against the loss of commits that a replica had received before
+    # it started again without its log.
+    def test_a_replica_that_lost_its_log_counts_as_unheard(self):
+        evidence = make_evidence(
+            {FIRST: 5, SECOND: 0}, last=9, unsettled=[FIRST, SECOND]
+        )
+        self.assertEqual([SECOND], evidence.unheard)
+        self.assertFalse(evidence.holds_all(FIRST))
+
 
 class LatestAcknowledgedTest(testtools.TestCase):
     """A primary answers with the end of its log."""
