Await a listed target for any time

Callers of a synchronous group lost acknowledged commits when the only replica that held them answered its status queries with BUSY for more than 15 s.

Evidence: test_a_busy_replica_is_awaited_for_any_time fails before: the lagging replica is promoted 15 s after the change was announced.

Change: the wait is given up only once all listed targets have answered.

--- a/balsamhinge/controllers/successors.py
+++ b/balsamhinge/controllers/successors.py
@@ -406,7 +406,7 @@
         bound = evidence.upper_bound()
         is_over = (
             choice.target is not None
-            and bound is not None
+            and self._listed(group) <= survey.reports.keys()
             and now - since > MAX_RETURN_WAIT_S
         )
         if is_over or since == now:
--- a/tests/controllers/test_acknowledgements.py
+++ b/tests/controllers/test_acknowledgements.py
@@ -515,6 +515,15 @@
 class WaitingTest(Scenarios):
     """What callers see while a replica is awaited."""
 
+    # Guards against commits that are given up although the replica that holds
+    # them is there, and only too busy to answer for long.
+    def test_a_busy_replica_is_awaited_for_any_time(self):
+        async def scenario(world):
+            await self.lag(world)
+            await self.fail_over(world, 2 * successors.MAX_RETURN_WAIT_S)
+
+        self.run_synchronous(scenario)
+
     # Guards against a group that never has a primary again because a listed
     # replica that is not needed answers nothing.
     def test_a_dead_replica_is_awaited_until_it_is_not_listed(self):
