Refuse callers at once while acknowledged commits are awaited

While a change of a primary waited for a replica that may hold acknowledged commits, writes waited for their whole time and were then refused without the cause, and reads of a stated age were refused although a replica could have served them.

Cause: only the holder of the duty knew that the change waits, and no position of the primary was recent enough for a read.

Change: the holder of the duty tells others which targets it awaits. A statement that needs the primary is refused at once and names them, in the refusal and so in `balsamhingectl explain`. Where all instances have told what they acknowledged, the bound of it counts as a position of now, as nothing is acknowledged until the change is over; replicas that hold it serve reads.

--- a/balsamhinge/controllers/failover.py
+++ b/balsamhinge/controllers/failover.py
@@ -110,6 +110,7 @@
             # An isolated instance may still believe that it holds the duty.
             if not self._fleet.duty.is_confirmed() or self._fleet.stopping:
                 self._listed_since = {}
+                self.successors.awaited.clear()
                 continue
             if self._fleet.leaders.outdated_groups:
                 await self._fleet.restoration.restore()
--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -383,6 +383,9 @@
                 group: latest.at_least
                 for group, latest in acknowledged.items()
             },
+            awaited=fleet.failover.successors.awaited
+            if fleet.duty.held
+            else {},
             unsettled=fleet.failover.successors.told_unsettled(),
             may_succeed=fleet.succession.may_succeed,
             relinquished=fleet.duty.relinquished,
--- a/balsamhinge/controllers/successors.py
+++ b/balsamhinge/controllers/successors.py
@@ -88,6 +88,9 @@
         # By group, the epoch of a change and the loop seconds since when no
         # log of a listed target is known to hold all acknowledged commits.
         self._missing_since = {}
+        # By group, the targets that its change of a primary waits for, as
+        # acknowledged commits may be in their logs alone.
+        self.awaited = {}
 
     def candidates(self, leadership, orderly):
         """Return the targets that may replace a group's primary.
@@ -154,6 +157,13 @@
             If acknowledged commits may be missing from the logs of all
             targets that answer, and may be in another one.
         """
+        choice = await self._choose(
+            leadership, orderly, all_released, reinstatable
+        )
+        self.awaited.pop(leadership.group, None)
+        return choice
+
+    async def _choose(self, leadership, orderly, all_released, reinstatable):
         started_at = clock.now()
         led_term = self._known_term(leadership)
         while True:
@@ -188,12 +198,29 @@
                 if settled is not None:
                     return settled
             if timed_out:
+                self._record_stall(leadership, survey.evidence)
                 raise exceptions.NotRunError(
                     f"no target of {leadership.group} is known to hold all "
                     "acknowledged commits"
                 )
             await clock.pause(POLL_INTERVAL_S)
 
+    def _record_stall(self, leadership, evidence):
+        """Let callers know what a change waits for, and read meanwhile.
+
+        Nothing is acknowledged between the release of the old primary and
+        the end of the change.
+        """
+        fleet = self._fleet
+        names = evidence.unheard or [evidence.primary]
+        self.awaited[leadership.group] = ",".join(names)
+        if evidence.told_by_all is not None:
+            fleet.leaders.record_position(
+                leadership,
+                fleet.dependencies.boot_time(),
+                evidence.told_by_all,
+            )
+
     async def _ask(self, leadership, led_term, all_released):
         """Return the `_Survey` of a group."""
         targets = self.candidates(leadership, orderly=False)
--- a/balsamhinge/fleet.py
+++ b/balsamhinge/fleet.py
@@ -188,6 +188,26 @@
         # Without a lease it refuses all keys. Another instance may have one.
         return not (self.customers.has_lapsed and self.other_members())
 
+    def awaited_targets(self, group):
+        """Return what the change of a group's primary waits for.
+
+        Parameters
+        ----------
+        group : str
+            The group.
+
+        Returns
+        -------
+        str
+            Names of targets that alone may hold acknowledged commits, and
+            whose answer the holder of the promotion duty awaits; "" if no
+            change is known to wait.
+        """
+        if self.duty.held:
+            return self.failover.successors.awaited.get(group, "")
+        message = self.gossip.last_messages.get(self.duty.holder)
+        return message.awaited.get(group, "") if message else ""
+
     @property
     def isolated(self):
         """Return whether the store and all other data centres are lost.
--- a/balsamhinge/policy/gossipmessages.py
+++ b/balsamhinge/policy/gossipmessages.py
@@ -183,6 +183,9 @@
         By group with synchronous replicas, between which positions the
         latest acknowledged commit that the sender knows of lies, see
         `LatestAcknowledged`.
+    awaited : dict of str to str
+        By group whose change of a primary waits for targets, as acknowledged
+        commits may be in their logs alone, their names.
     unsettled : dict of str to list of str
         By group with synchronous replicas, targets that have left the list
         or started again recently, as far as the sender has seen it.
@@ -231,6 +234,7 @@
     acknowledged_at_least: dict[str, positions.LogPosition] = attrs.Factory(
         dict
     )
+    awaited: dict[str, str] = attrs.Factory(dict)
     unsettled: dict[str, list[str]] = attrs.Factory(dict)
     may_succeed: bool = True
     relinquished: int = 0
--- a/balsamhinge/sessions/dispatch.py
+++ b/balsamhinge/sessions/dispatch.py
@@ -76,6 +76,8 @@
         Number of pauses before a retry so far.
     overloaded : bool
         Whether a target refused because it cannot answer in time.
+    unavailable : bool
+        Whether no primary can be expected before the deadline.
     answered : bool
         Whether the read has been answered; no further attempt may start.
     workload : Workload
@@ -91,6 +93,7 @@
     failures: list = attrs.Factory(list)
     retries: int = 0
     overloaded: bool = False
+    unavailable: bool = False
     answered: bool = False
     workload: workload_module.Workload = workload_module.Workload()
 
@@ -142,7 +145,7 @@
 
     async def pause_before_retry(self, req):
         """Pause before a retry; return False at once if none is worthwhile."""
-        if req.overloaded:
+        if req.overloaded or req.unavailable:
             # An early refusal leaves the caller time to try another instance.
             return False
         pause_s = min(MAX_RETRY_PAUSE_S, RETRY_PAUSE_S * 2**req.retries)
@@ -176,6 +179,14 @@
         while True:
             # An isolated instance would not learn of a new primary in time,
             # so it refuses at once and the caller can try another one.
+            group = req.route.group
+            awaited = self._fleet.awaited_targets(group)
+            if awaited and not self._fleet.leaders.valid_leadership(group):
+                req.unavailable = True
+                req.record_failure(
+                    awaited, "awaited, as it may hold acknowledged commits"
+                )
+                return None
             isolated = self._fleet.isolated
             deadline = clock.now() if isolated else req.deadline
             leadership = await self._fleet.leaders.wait_valid_leadership(
--- a/tests/controllers/test_acknowledgements.py
+++ b/tests/controllers/test_acknowledgements.py
@@ -515,6 +515,28 @@
 class WaitingTest(Scenarios):
     """What callers see while a replica is awaited."""
 
+    # Guards against callers that wait for a primary that cannot come, and
+    # against reads that are refused though a replica may serve them.
+    def test_callers_are_refused_at_once_and_told_why(self):
+        async def scenario(world):
+            primary, synced, _behind = await self.lag(world)
+            synced.knobs.status_full = True
+            primary.knobs.dark = True
+            await asyncio.sleep(FAILOVER_S)
+            loop = asyncio.get_running_loop()
+            for name in world.fleets:
+                started_at = loop.time()
+                answer = await world.caller(name, "posts").write("item", "x")
+                self.assertIs(statements.Problem.BUSY, answer.problem)
+                self.assertLess(loop.time() - started_at, 0.1)
+                self.assertIn(synced.name, answer.detail)
+                answer = await world.caller(name, "ranks").read("item")
+                self.assertIsNone(answer.problem)
+                answer = await world.caller(name, "posts").read("item")
+                self.assertIs(statements.Problem.BUSY, answer.problem)
+
+        self.run_synchronous(scenario)
+
     # Guards against commits that are given up although the replica that holds
     # them is there, and only too busy to answer for long.
     def test_a_busy_replica_is_awaited_for_any_time(self):
--- a/tests/test_encodings.py
+++ b/tests/test_encodings.py
@@ -77,6 +77,7 @@
         "table_change.groups.*.synchronous_replicas": 0,
         "acknowledged": {},
         "acknowledged_at_least": {},
+        "awaited": {},
         "unsettled": {},
         "may_succeed": True,
         "relinquished": 0,
