Kill the last instance that wrote in the soak

The soak of synchronous groups crashed primaries, but never at the moment at which an instance alone knows of the last commits.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -51,6 +51,8 @@
 # replicates synchronously.
 REFUSAL_WEIGHT = 4
 REPLICA_WEIGHT = 3
+# With a primary in use, some write is acknowledged within this time.
+ACKNOWLEDGED_WITHIN_S = 1.0
 # A target takes so long to hear of another primary.
 STEP_DOWN_S = 1.0
 SETTINGS = customers.CustomerSettings(
@@ -392,6 +394,7 @@
         kinds += [self._leave_replica] * (REPLICA_WEIGHT * self._synchronous)
         kinds += [self._busy_target] * (REPLICA_WEIGHT * self._synchronous)
         kinds += [self._crash_after_lag] * (REPLICA_WEIGHT * self._synchronous)
+        kinds += [self._crash_untold] * (REPLICA_WEIGHT * self._synchronous)
         kinds += [self._long_absence] * (ABSENCE_WEIGHT * self._absences)
         kinds += [self._deregister] * (ABSENCE_WEIGHT * self._absences)
         while clock.now() < ends_at:
@@ -559,6 +562,53 @@
             setattr(target.knobs, knob, False)
             await rejoin(group, target)
 
+    async def _crash_untold(self):
+        """Silence the primary as the instance that wrote last is killed.
+
+        The one replica that has received all is busy, or is not listed.
+        """
+        group = self.world.group
+        primary = group.primary
+        replicas = [one for one in group.targets.values() if one != primary]
+        behind, synced = self.rng.sample(replicas, 2)
+        behind.knobs.deaf = True
+        busy = self.rng.random() < 0.5
+        name = await self._wait_acknowledged()
+        member = self.world.fleets[name].me if name else None
+        if member is not None:
+            await self.world.kill(name)
+        synced.knobs.status_full = busy
+        primary.knobs.dark = True
+        if not busy:
+            synced.knobs.dark = True
+            self.world.records.drop(interfaces.TARGETS, synced.name)
+        await self._for_a_while(1.0)
+        if member is not None and name not in self.world.fleets:
+            self.world.start_instance(member)
+        await self._for_a_while()
+        synced.knobs.status_full = False
+        self.world.records.put(interfaces.TARGETS, synced.name, synced.entry())
+        for target, knob in (
+            (behind, "deaf"),
+            (synced, "dark"),
+            (primary, "dark"),
+        ):
+            setattr(target.knobs, knob, False)
+            await rejoin(group, target)
+
+    async def _wait_acknowledged(self):
+        """Return the instance of the next acknowledged write, or None."""
+        count = len(self.outcome.asks)
+        until = clock.now() + ACKNOWLEDGED_WITHIN_S
+        while clock.now() < until:
+            await asyncio.sleep(0.001)
+            for ask in self.outcome.asks[count:]:
+                name = ask.session.partition("/")[0]
+                if ask.write and ask.problem is None:
+                    return name if name in self.world.fleets else None
+            count = len(self.outcome.asks)
+        return None
+
     async def _replace_key(self):
         name = self.rng.choice(list(RATES))
         key = self._keys.current[name]
