Forget the processes of instances that have left

Those of instances that are no longer registered are now dropped once they outnumber the others; twice as many are kept at most. A walk over all of them for each new process was ruled out, as a fleet that starts would make it 5,400 times. A gossip message also gets its own copy of the targets that are awaited.

--- a/balsamhinge/controllers/acknowledged.py
+++ b/balsamhinge/controllers/acknowledged.py
@@ -5,6 +5,10 @@
 
 __all__ = ["AcknowledgedController"]
 
+# Processes that are kept whether or not their instances are registered: some
+# are heard before their registration is read.
+MIN_KEPT = 32
+
 
 class AcknowledgedController:
     """What is known of each group's latest acknowledged commit.
@@ -82,16 +86,21 @@
         if message.stamp is None:
             self._processes.pop(message.sender, None)
         elif process != message.stamp.process:
-            members = self._fleet.leaders.members
+            self._processes[message.sender] = (
+                message.stamp.process,
+                self._fleet.dependencies.boot_time(),
+            )
+            self._forget_departed()
+
+    def _forget_departed(self):
+        """Forget processes of instances that are no longer registered."""
+        members = self._fleet.leaders.members
+        if len(self._processes) > 2 * max(len(members), MIN_KEPT):
             self._processes = {
                 name: known
                 for name, known in self._processes.items()
                 if name in members
             }
-            self._processes[message.sender] = (
-                message.stamp.process,
-                self._fleet.dependencies.boot_time(),
-            )
 
     def told(self):
         """Return what this instance tells others.
--- a/balsamhinge/controllers/gossip.py
+++ b/balsamhinge/controllers/gossip.py
@@ -383,7 +383,7 @@
                 group: latest.at_least
                 for group, latest in acknowledged.items()
             },
-            awaited=fleet.failover.successors.awaited
+            awaited=dict(fleet.failover.successors.awaited)
             if fleet.duty.held
             else {},
             unsettled=fleet.failover.successors.told_unsettled(),
