Refuse callers at once also if no target answers a change

In a synchronous group whose replicas all turn status queries away, as is usual with one replica, writes still waited for their whole time.

Cause: the holder of the duty told what it awaits only when some other target could have become the primary. Evidence: test_callers_are_refused_at_once_if_no_target_answers fails before (0.8 s).

Change: what is awaited is recorded whenever the time to catch up is over without a target that holds all, and forgotten once a target is chosen. The choice by one survey of the targets becomes a method of its own.

Result: the test passes (within 0.1 s), and all others of test_acknowledgements, test_successors and test_failover.

--- a/balsamhinge/controllers/successors.py
+++ b/balsamhinge/controllers/successors.py
@@ -160,7 +160,8 @@
         choice = await self._choose(
             leadership, orderly, all_released, reinstatable
         )
-        self.awaited.pop(leadership.group, None)
+        if choice.target is not None:
+            self.awaited.pop(leadership.group, None)
         return choice
 
     async def _choose(self, leadership, orderly, all_released, reinstatable):
@@ -168,25 +169,12 @@
         led_term = self._known_term(leadership)
         while True:
             survey = await self._ask(leadership, led_term, all_released)
-            choice = self._select(
+            choice, holds_all = self._decide(
                 leadership, survey, led_term, orderly, reinstatable
             )
-            choice, holds_all = self._protect_acknowledged(
-                leadership, survey, choice, orderly
-            )
-            if not holds_all and self._has_waited(leadership, survey, choice):
-                choice, holds_all = (
-                    self._select(
-                        leadership,
-                        survey,
-                        led_term,
-                        orderly,
-                        reinstatable,
-                        any_log=True,
-                    ),
-                    True,
-                )
             timed_out = clock.now() - started_at > CATCH_UP_TIMEOUT_S
+            if timed_out and not holds_all:
+                self._record_stall(leadership, survey.evidence)
             if choice.target is None and (holds_all or timed_out):
                 return choice
             if not orderly and holds_all:
@@ -198,13 +186,30 @@
                 if settled is not None:
                     return settled
             if timed_out:
-                self._record_stall(leadership, survey.evidence)
                 raise exceptions.NotRunError(
                     f"no target of {leadership.group} is known to hold all "
                     "acknowledged commits"
                 )
             await clock.pause(POLL_INTERVAL_S)
 
+    def _decide(self, leadership, survey, led_term, orderly, reinstatable):
+        """Return the choice by one survey, and whether it holds all.
+
+        See `_protect_acknowledged`. What is awaited in vain does not count.
+        """
+        choice = self._select(
+            leadership, survey, led_term, orderly, reinstatable
+        )
+        choice, holds_all = self._protect_acknowledged(
+            leadership, survey, choice, orderly
+        )
+        if holds_all or not self._has_waited(leadership, survey, choice):
+            return choice, holds_all
+        choice = self._select(
+            leadership, survey, led_term, orderly, reinstatable, any_log=True
+        )
+        return choice, True
+
     def _record_stall(self, leadership, evidence):
         """Let callers know what a change waits for, and read meanwhile.
 
--- a/tests/controllers/test_acknowledgements.py
+++ b/tests/controllers/test_acknowledgements.py
@@ -523,13 +523,8 @@
             synced.knobs.status_full = True
             primary.knobs.dark = True
             await asyncio.sleep(FAILOVER_S)
-            loop = asyncio.get_running_loop()
+            await self.assert_refused_at_once(world, synced)
             for name in world.fleets:
-                started_at = loop.time()
-                answer = await world.caller(name, "posts").write("item", "x")
-                self.assertIs(statements.Problem.BUSY, answer.problem)
-                self.assertLess(loop.time() - started_at, 0.1)
-                self.assertIn(synced.name, answer.detail)
                 answer = await world.caller(name, "ranks").read("item")
                 self.assertIsNone(answer.problem)
                 answer = await world.caller(name, "posts").read("item")
@@ -537,6 +532,29 @@
 
         self.run_synchronous(scenario)
 
+    async def assert_refused_at_once(self, world, awaited):
+        """Check that writes are refused, and name the awaited target."""
+        loop = asyncio.get_running_loop()
+        for name in world.fleets:
+            started_at = loop.time()
+            answer = await world.caller(name, "posts").write("item", "x")
+            self.assertIs(statements.Problem.BUSY, answer.problem)
+            self.assertLess(loop.time() - started_at, 0.1)
+            self.assertIn(awaited.name, answer.detail)
+
+    # Guards against the same where no target answers, as with one replica.
+    def test_callers_are_refused_at_once_if_no_target_answers(self):
+        async def scenario(world):
+            primary, synced, behind = await self.lag(world)
+            synced.knobs.status_full = behind.knobs.status_full = True
+            primary.knobs.dark = True
+            await asyncio.sleep(FAILOVER_S)
+            await self.assert_refused_at_once(world, synced)
+            behind.knobs.status_full = False
+            await self.fail_over(world)
+
+        self.run_synchronous(scenario)
+
     # Guards against commits that are given up although the replica that holds
     # them is there, and only too busy to answer for long.
     def test_a_busy_replica_is_awaited_for_any_time(self):
