--- a/review/11/case.py
+++ b/review/11/case.py
@@ -6,6 +6,7 @@
 import pathlib
 import sys
 import tempfile
+import traceback
 
 import fleet
 import standins
@@ -153,7 +154,7 @@
         and at > accepted_at + DRAIN_S
         and (
             request_id.startswith(others)
-            or clients[-1].answers[request_id][0] > in_touch_from
+            or clients[-1].sent[request_id] > in_touch_from
         )
     ]
     for at, request_id, name in late:
@@ -178,7 +179,11 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder)
-        code = asyncio.run(play(path, trouble))
+        try:
+            code = asyncio.run(play(path, trouble))
+        except Exception:
+            traceback.print_exc()
+            code = NOT_RUN
         if os.environ.get("LOGS"):
             for log in sorted(path.glob("*.log")):
                 (pathlib.Path(os.environ["LOGS"]) / log.name).write_bytes(
