Review case 11: LOST after all instances restart

Cause: which replicas there were and what was acknowledged is kept in the memory of the instances alone; new processes take a replica that lacks the acknowledged commits for one that holds all. Nothing of the product is changed.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""A service is stopped as planned, and one instance is killed meanwhile."""
+"""A replica is lost, the other one deaf, the primary and all instances crash."""
 
 import asyncio
 import contextlib
@@ -13,15 +13,21 @@
 
 HERE = pathlib.Path(__file__).parent
 DATABASE = "results"
-DRAIN_S = 7.0
-STABLE_WINDOW_S = 4.0
 HEARTBEAT_S = 1.2
-# Time between the start of the fleet and the planned stop.
+# An entry is removed after three heartbeats of silence.
+EXPIRY_S = 3.6
+# Time between the start of the fleet and the first disruption.
 LEAD_S = 14.0
-KILL_AFTER_S = 2.0
+# Seconds from there: a replica receives nothing for DEAF_S; the other one is
+# lost for good; the primary crashes and is back after DOWN_S; all instances
+# are killed, and each is started again after RESTART_DELAY_S.
+DEAF_S = 6.5
+LOST_AT_S = 2.0
+CRASH_AT_S = 4.0
+DOWN_S = 7.0
+KILL_AT_S = 5.9
 RESTART_DELAY_S = 0.3
-# The backends go on a little longer than drain_ms.
-LINGER_S = 0.8
+END_S = 20.0
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
@@ -41,7 +47,9 @@
                 "max_staleness_ms": 1500,
             }
         ],
-        "services": [{"name": service.name, "max_conns": 38}],
+        "services": [
+            {"name": service.name, "max_conns": 38, "sync_replicas": 1}
+        ],
         "limits": {"tx_idle_ms": 3000},
     }
 
@@ -52,11 +60,19 @@
         for backend in service.backends.values():
             if backend.running:
                 store.put("servers", backend.id, backend.entry())
-            else:
-                store.delete("servers", backend.id)
         await asyncio.sleep(HEARTBEAT_S)
 
 
+async def expiries(store, service, record):
+    """Remove the entries of backends that have been silent."""
+    while True:
+        for backend in service.backends.values():
+            silent_s = record.now() - backend.silent_since
+            if not backend.running and silent_s > EXPIRY_S:
+                store.delete("servers", backend.id)
+        await asyncio.sleep(0.05)
+
+
 async def wait_until(condition, limit_s):
     """Wait for a condition; return whether it came true in time."""
     with contextlib.suppress(TimeoutError):
@@ -81,11 +97,14 @@
         store.put("servers", backend.id, backend.entry())
     store.put("config", "main", configuration(service))
     instances = fleet.make_instances(store.address, folder)
-    tasks = [asyncio.ensure_future(heartbeats(store, service))]
+    tasks = [
+        asyncio.ensure_future(heartbeats(store, service)),
+        asyncio.ensure_future(expiries(store, service, record)),
+    ]
     try:
         for instance in instances:
             await instance.start()
-        return await drain(record, service, store, instances, tasks, trouble)
+        return await disturb(record, service, store, instances, tasks, trouble)
     finally:
         for instance in instances:
             await instance.kill()
@@ -94,8 +113,8 @@
         store.stop()
 
 
-async def drain(record, service, store, instances, tasks, trouble):
-    """Stop all backends as planned, and judge what they receive."""
+async def disturb(record, service, store, instances, tasks, trouble):
+    """Cause the disruptions, and judge what is lost."""
 
     async def are_ready():
         return all([await one.is_ready() for one in instances])
@@ -104,7 +123,7 @@
         record.write("script", "the instances don't become ready")
         return NOT_RUN
     clients = [
-        standins.Client(f"c{number}-", record, one.callers, DATABASE)
+        standins.Client(f"c{number}-", record, one.callers, DATABASE, service)
         for number, one in enumerate(instances, 1)
     ]
     tasks += [asyncio.ensure_future(one.run()) for one in clients]
@@ -116,62 +135,55 @@
     if not all(answered):
         record.write("script", "a client was never answered with success")
         return NOT_RUN
-    for backend in service.backends.values():
-        backend.state = "draining"
-        store.put("servers", backend.id, backend.entry())
-    accepted_at = record.now()
-    record.write("store", "has accepted that all backends are draining")
-    restarted = instances[-1]
-    started_at = 0.0
-    await asyncio.sleep(KILL_AFTER_S)
+    began_at = record.now()
+
+    async def wait(seconds):
+        await asyncio.sleep(max(0.0, began_at + seconds - record.now()))
+
+    primary, lost, deaf = service.backends.values()
     if trouble:
-        await restarted.kill()
-        record.write("script", f"{restarted.name} was killed")
-        await asyncio.sleep(RESTART_DELAY_S)
-        await restarted.start()
-        started_at = record.now()
-        record.write("script", f"{restarted.name} was started again")
-    end_at = accepted_at + DRAIN_S + LINGER_S
-    await asyncio.sleep(end_at - record.now())
-    for backend in service.backends.values():
-        backend.end()
-        store.delete("servers", backend.id)
-    await asyncio.sleep(2.0)
-    return judge(record, service, clients, accepted_at, started_at)
-
-
-def judge(record, service, clients, accepted_at, started_at):
-    """Return whether the rule DRAIN was broken, as an exit code."""
-    in_touch_from = started_at + STABLE_WINDOW_S if started_at else 0.0
-    # Only the client of the restarted instance, the last one, had a machine
-    # that was not in touch for some time.
-    others = tuple(one.name for one in clients[:-1])
-    late = [
-        (at, request_id, backend.id)
-        for backend in service.backends.values()
-        for at, request_id, _text, _peer, is_first in backend.received
-        if is_first
-        and at > accepted_at + DRAIN_S
-        and (
-            request_id.startswith(others)
-            or clients[-1].sent[request_id] > in_touch_from
-        )
-    ]
-    for at, request_id, name in late:
+        deaf.deaf = True
+        record.write(deaf.id, f"receives nothing from {deaf.position} on")
+        await wait(LOST_AT_S)
+        lost.crash()
+        await wait(CRASH_AT_S)
+        primary.crash()
+        if os.environ.get("KILL", "1") != "0":
+            await wait(KILL_AT_S)
+            for instance in instances:
+                await instance.kill()
+            record.write("script", "all instances were killed")
+            await asyncio.sleep(RESTART_DELAY_S)
+            for instance in instances:
+                await instance.start()
+            record.write("script", "all instances were started again")
+        await wait(DEAF_S)
+        deaf.deaf = False
+        await wait(CRASH_AT_S + DOWN_S)
+        await primary.come_back()
+        store.put("servers", primary.id, primary.entry())
+    await wait(END_S)
+    return judge(record, service, clients)
+
+
+def judge(record, service, clients):
+    """Return whether the rule LOST was broken, as an exit code."""
+    for request_id in sorted(service.lost):
         record.write(
             "judge",
-            f"DRAIN: {request_id} reached {name} "
-            f"{at - accepted_at:.3f} s after the store had accepted that it "
-            "is draining",
+            f"LOST: {request_id} was acknowledged as commit "
+            f"{service.numbers[request_id]} and is not in the log of the "
+            "backend that was promoted",
         )
-    cut = {one for backend in service.backends.values() for one in backend.cut}
-    for client in clients:
-        for request_id in sorted(cut & client.answers.keys()):
-            record.write(
-                "judge", f"cut: {request_id}: {client.answers[request_id][2]}"
-            )
-    record.write("judge", f"{len(late)} late statements, {len(cut)} cut off")
-    return BROKEN if late else HELD
+    served = [
+        at
+        for client in clients
+        for _sent_at, at, outcome in client.answers.values()
+        if outcome.startswith("COMPLETE i")
+    ]
+    record.write("judge", f"last success at {max(served):.1f} s")
+    record.write("judge", f"{len(service.lost)} commits lost")
+    return BROKEN if service.lost else HELD
 
 
 def main():
--- a/review/11/standins.py
+++ b/review/11/standins.py
@@ -181,14 +181,20 @@
 class Service:
     """A primary and its replicas, each behind a port of its own."""
 
-    LAG_S = 0.06
+    # Time until a replica has received a commit.
+    NETWORK_S = 0.001
     PROMOTE_S = 0.3
 
-    def __init__(self, name, record, work_s=0.06):
+    def __init__(self, name, record, work_s=0.005):
         self.name = name
         self.record = record
         self.work_s = work_s
         self.backends = {}
+        # Numbers of the commits by the id of their write, and those that
+        # each promotion lacked although they had been acknowledged.
+        self.numbers = {}
+        self.acknowledged = set()
+        self.lost = set()
 
     async def promote(self, headers, body):
         """Carry out a promotion call; return the status."""
@@ -210,6 +216,11 @@
     def _take_over(self, chosen):
         term = 1 + max(one.term for one in self.backends.values())
         chosen.term, chosen.role = term, "primary"
+        self.lost |= {
+            request_id
+            for request_id in self.acknowledged
+            if self.numbers[request_id] > chosen.number
+        }
         self.record.write("platform", f"{chosen.id} leads term {term}")
 
         def demote():
@@ -227,9 +238,17 @@
         for one in self.backends.values():
             if one is not primary and one.role == "replica":
                 asyncio.get_running_loop().call_later(
-                    self.LAG_S, one.receive, primary.term, number
+                    self.NETWORK_S, one.receive, primary.term, number
                 )
 
+    async def wait_received(self, number):
+        """Wait until one replica has received a commit."""
+        while not any(
+            one.running and one.role == "replica" and one.number >= number
+            for one in self.backends.values()
+        ):
+            await asyncio.sleep(0.002)
+
 
 class Backend:
     """One backend of a service."""
@@ -245,6 +264,9 @@
         self.seq_no = 0
         self.born = int(time.time() * 1000)
         self.running = True
+        # Whether it receives nothing.
+        self.deaf = False
+        self.silent_since = 0.0
         self.runs = 0
         # Seconds, id, text and peer of each statement of a client.
         self.received = []
@@ -255,19 +277,35 @@
         self._server = None
         self.address = ""
 
-    async def start(self, host):
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, host, 0)
+    async def start(self, host, port=0):
+        """Listen on a port, a free one by default."""
+        self._server = await asyncio.start_server(self._serve, host, port)
         self.address = f"{host}:{self._server.sockets[0].getsockname()[1]}"
 
-    def end(self):
-        """End as a process does that has drained."""
+    def crash(self):
+        """End as a process does that is killed."""
         self.running = False
+        self.silent_since = self.service.record.now()
         self._server.close()
-        self.cut = list(self._busy.values())
         for writer in list(self._writers):
             writer.transport.abort()
-        self.service.record.write(self.id, f"ends, cuts off {self.cut}")
+        self.service.record.write(self.id, f"crashes at {self.position}")
+
+    async def come_back(self):
+        """Start again with the log that it had."""
+        host, _, port = self.address.rpartition(":")
+        leads = [
+            one
+            for one in self.service.backends.values()
+            if one is not self and one.role == "primary"
+        ]
+        if leads:
+            self.role, self.term = "replica", leads[0].term
+            self.number = min(self.number, leads[0].number)
+        self.born = int(time.time() * 1000)
+        self.running = True
+        await self.start(host, int(port))
+        self.service.record.write(self.id, f"is back as {self.role}")
 
     def entry(self):
         """Return the entry in the store."""
@@ -287,7 +325,8 @@
 
     def receive(self, term, number):
         """Receive a commit of the primary."""
-        if self.running and self.role == "replica" and term >= self.term:
+        hears = self.running and not self.deaf
+        if hears and self.role == "replica" and term >= self.term:
             self.term, self.number = term, max(self.number, number)
 
     @property
@@ -331,7 +370,7 @@
             )
             self._busy[request_id] = request_id
         try:
-            rows, outcome = await self._run(text, session)
+            rows, outcome = await self._run(request_id, text, session)
         finally:
             self._busy.pop(request_id, None)
         if not self.running:
@@ -340,7 +379,7 @@
         lines += [outcome, f"READY {session['state']} {self.position}"]
         writer.write("".join(f"{one}\r\n" for one in lines).encode())
 
-    async def _run(self, text, session):
+    async def _run(self, request_id, text, session):
         if text.startswith("WAITPOS "):
             _, needed, text = text.split(" ", 2)
             term, number = map(int, needed.split("."))
@@ -389,18 +428,21 @@
             if not session["wrote"]:
                 return [], signature
         self.number += 1
-        self.service.committed(self, self.number)
+        number = self.service.numbers[request_id] = self.number
+        self.service.committed(self, number)
+        await self.service.wait_received(number)
         return [], signature
 
 
 class Client:
     """A client that writes again and again, one statement after another."""
 
-    def __init__(self, name, record, address, database, pause_s=0.01):
+    def __init__(self, name, record, address, database, service, pause_s=0.04):
         self.name = name
         self._record = record
         self._address = address
         self._database = database
+        self._service = service
         self._pause_s = pause_s
         self._count = 0
         # Seconds of sending by id.
@@ -447,4 +489,6 @@
         finally:
             self.answers[request_id] = sent_at, self._record.now(), outcome
             self._record.write(self.name, f"{request_id}: {outcome}")
+            if outcome.startswith("COMPLETE i"):
+                self._service.acknowledged.add(request_id)
         return line
